Add settings by flags and environment variables

Cause: each program needs checked settings from one schema, and a wrong one has to be refused with its flag, its value and what is allowed. Ruled out: yargs' own strict mode, whose messages do not name what is allowed and which does not look at unknown variables. Change: src/settings/settings.ts reads flags and RAGWORTSPUR_* variables through yargs and zod; helpText and settingsOrExit serve the programs. Conclusion: programs declare their settings as one object.

--- /dev/null
+++ b/src/settings/settings.spec.ts
@@ -0,0 +1,32 @@
+import { z } from 'zod'
+import { helpText, readSettings } from './settings.js'
+
+const program = {
+  program: 'ragwortspur-test',
+  describe: 'Settings under test',
+  specs: {
+    callPort: { describe: 'Port for calls', schema: z.coerce.number().int().min(1).max(65535), allowed: '1..65535' },
+    dataCentre: { describe: 'Own data centre', schema: z.string().min(1), default: 'tartu', allowed: 'a name' }
+  }
+}
+
+describe('settings', () => {
+  test('a flag goes before a variable, and a default fills the rest', () => {
+    const read = readSettings(program, ['--call-port', '9000'], { RAGWORTSPUR_CALL_PORT: '7000' })
+    expect(read.extract()).toEqual({ settings: { callPort: 9000, dataCentre: 'tartu' }, operands: [] })
+  })
+
+  test.each([
+    ['a wrong value', ['--call-port', 'x'], {}],
+    ['a missing one', [], {}],
+    ['an unknown flag', ['--call-port', '1', '--prot', '2'], {}],
+    ['an unknown variable', ['--call-port', '1'], { RAGWORTSPUR_PROT: '2' }],
+    ['an argument that is not taken', ['--call-port', '1', 'extra'], {}]
+  ])('%s is refused with its flag, value and what is allowed', (_name, argv, env) => {
+    expect(readSettings(program, argv, env).swap().extract()).toMatchSnapshot()
+  })
+
+  test('the help text names flag, default and variable', () => {
+    expect(helpText(program)).toMatchSnapshot()
+  })
+})
--- /dev/null
+++ b/src/settings/settings.ts
@@ -0,0 +1,156 @@
+import { readFileSync } from 'node:fs'
+import { Either, Left, Right } from 'purify-ts'
+import yargs from 'yargs'
+import type { z } from 'zod'
+
+/** One setting: the flag `--some-name` and the variable `RAGWORTSPUR_SOME_NAME`. */
+export interface SettingSpec<T> {
+  readonly describe: string
+  /** Reads the text of a flag or variable. */
+  readonly schema: z.ZodType<T>
+  /** Text used when neither the flag nor the variable is given; without it the setting is required. */
+  readonly default?: string
+  /** What is allowed, for error messages and help. */
+  readonly allowed: string
+}
+
+export type SettingSpecs = Readonly<Record<string, SettingSpec<unknown>>>
+
+export type SettingsOf<S extends SettingSpecs> = {
+  readonly [K in keyof S]: S[K] extends SettingSpec<infer T> ? T : never
+}
+
+export interface ProgramSpec<S extends SettingSpecs> {
+  readonly program: string
+  readonly describe: string
+  readonly specs: S
+  /** Name and meaning of positional arguments, when the program takes any. */
+  readonly operands?: { readonly name: string, readonly describe: string }
+}
+
+export interface ProgramInput<S extends SettingSpecs> {
+  readonly settings: SettingsOf<S>
+  readonly operands: readonly string[]
+}
+
+/** A setting that is wrong, unknown or missing. */
+export interface SettingFault {
+  readonly flag: string
+  readonly value: string
+  readonly allowed: string
+}
+
+/** Exit code of a program that was started with wrong settings. */
+export const EXIT_WRONG_SETTINGS = 2
+
+const ENV_PREFIX = 'RAGWORTSPUR_'
+const COMMON_VARIABLES = new Set(['RAGWORTSPUR_LOG_LEVEL'])
+
+function flagOf (name: string): string {
+  return name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)
+}
+
+function variableOf (name: string): string {
+  return ENV_PREFIX + flagOf(name).replaceAll('-', '_').toUpperCase()
+}
+
+function packageVersion (): string {
+  for (const depth of ['../../', '../../../']) {
+    try {
+      const text = readFileSync(new URL(`${depth}package.json`, import.meta.url), 'utf8')
+      return (JSON.parse(text) as { version: string }).version
+    } catch { /* The built file lies one folder deeper than its source. */ }
+  }
+  return 'unknown'
+}
+
+function textOf (given: unknown): string | undefined {
+  if (given === undefined) return undefined
+  return Array.isArray(given) ? String(given.at(-1)) : String(given)
+}
+
+/**
+ * Reads settings from flags and variables; flags go first.
+ *
+ * @example
+ * const specs = { port: { describe: 'Call port', schema: z.coerce.number(), default: '8080', allowed: '1..65535' } }
+ * readSettings({ program: 'demo', describe: 'Demo', specs }, ['--port', '9000'], {})
+ *
+ * Errors: one fault for each unknown, missing or wrong setting.
+ */
+export function readSettings<S extends SettingSpecs> (
+  spec: ProgramSpec<S>, argv: readonly string[], env: Readonly<Record<string, string | undefined>>
+): Either<SettingFault[], ProgramInput<S>> {
+  const parsed = yargs([...argv]).help(false).version(false)
+    .parserConfiguration({ 'camel-case-expansion': false, 'parse-numbers': false, 'boolean-negation': false })
+    .string(Object.keys(spec.specs).map(flagOf)).parseSync() as Record<string, unknown>
+  const operands = (parsed['_'] as unknown[]).map(String)
+  const faults = unknownSettings(spec, parsed, env)
+  if (spec.operands === undefined) {
+    faults.push(...operands.map(value => ({ flag: 'argument', value, allowed: 'no arguments, only flags' })))
+  }
+  const settings: Record<string, unknown> = {}
+  for (const [name, one] of Object.entries(spec.specs)) {
+    const text = textOf(parsed[flagOf(name)]) ?? env[variableOf(name)] ?? one.default
+    const read = text === undefined ? undefined : one.schema.safeParse(text)
+    if (read?.success === true) settings[name] = read.data
+    else faults.push({ flag: `--${flagOf(name)}`, value: text ?? '(missing)', allowed: one.allowed })
+  }
+  return faults.length > 0 ? Left(faults) : Right({ settings: settings as SettingsOf<S>, operands })
+}
+
+function unknownSettings<S extends SettingSpecs> (
+  spec: ProgramSpec<S>, parsed: Record<string, unknown>, env: Readonly<Record<string, string | undefined>>
+): SettingFault[] {
+  const flags = new Set(Object.keys(spec.specs).map(flagOf))
+  const variables = new Set(Object.keys(spec.specs).map(variableOf))
+  const allowed = `one of ${[...flags].map(flag => `--${flag}`).join(', ')}`
+  const unknownFlags = Object.keys(parsed).filter(key => key !== '_' && key !== '$0' && !flags.has(key))
+  const unknownVariables = Object.keys(env)
+    .filter(key => key.startsWith(ENV_PREFIX) && !variables.has(key) && !COMMON_VARIABLES.has(key))
+  return [
+    ...unknownFlags.map(key => ({ flag: `--${key}`, value: textOf(parsed[key]) ?? '', allowed })),
+    ...unknownVariables.map(key => ({ flag: key, value: env[key] ?? '', allowed: [...variables].join(', ') }))
+  ]
+}
+
+/** Help text of a program. */
+export function helpText<S extends SettingSpecs> (spec: ProgramSpec<S>): string {
+  const operand = spec.operands === undefined ? '' : ` ${spec.operands.name}`
+  const lines = Object.entries(spec.specs).map(([name, one]) => {
+    const fallback = one.default === undefined ? 'required' : `default ${one.default === '' ? '(empty)' : one.default}`
+    return `  --${flagOf(name)}\n      ${one.describe} (${one.allowed}; ${fallback}; ${variableOf(name)})`
+  })
+  const operandLine = spec.operands === undefined ? [] : [`  ${spec.operands.name}\n      ${spec.operands.describe}`]
+  return [
+    `${spec.program}: ${spec.describe}`, '', `Usage: ${spec.program} [flags]${operand}`, '',
+    ...operandLine, ...lines,
+    '  --help\n      Print this text', '  --version\n      Print the version'
+  ].join('\n')
+}
+
+/**
+ * Reads the settings of a program at its start. Answers `--help` and
+ * `--version`; wrong settings end the process with exit code 2 and one line for
+ * each fault that names the flag, the value and what is allowed.
+ */
+export function settingsOrExit<S extends SettingSpecs> (spec: ProgramSpec<S>): ProgramInput<S> {
+  const argv = process.argv.slice(2)
+  if (argv.includes('--help')) {
+    process.stdout.write(`${helpText(spec)}\n`)
+    process.exit(0)
+  }
+  if (argv.includes('--version')) {
+    process.stdout.write(`${packageVersion()}\n`)
+    process.exit(0)
+  }
+  return readSettings(spec, argv, process.env).caseOf({
+    Right: input => input,
+    Left: faults => {
+      for (const { flag, value, allowed } of faults) {
+        process.stderr.write(`${spec.program}: ${flag} has the value "${value}"; allowed: ${allowed}\n`)
+      }
+      process.exit(EXIT_WRONG_SETTINGS)
+    }
+  })
+}
