Add the documents family: schema, order, poll plan and digests

Cause: nodes need checked documents that only move forward, a poll plan that stays under the platform's call limit, and digests to compare with peers. Ruled out: refusing a document whose promises exceed its capacity, because an operator who lowers the capacity in an incident would be refused; the check tool reports that instead. Polling documents from the first moment, because a fleet that starts together would send one read per node and key. Interface additions: OfferResult `stored`, SpreadMessage `read`, digest buckets and confirmations, Catalogue, and nine functions of DocumentsModule.

--- /dev/null
+++ b/src/core/documents/documentsPolls.spec.ts
@@ -0,0 +1,110 @@
+import { catalogueValue, vmListValue } from '../../testing/documentSamples.js'
+import { documentsDefinition as documents } from './documentsDefinition.js'
+import type { DocumentsDb } from './documentsDb.js'
+import type { ReaderView } from './documentsTypes.js'
+
+const SERVICES = Array.from({ length: 40 }, (_, index) => `service-${index}`)
+const DATA_CENTRES = Array.from({ length: 31 }, (_, index) => `dc-${index}`)
+const VM_IDS = ['vm-a', 'vm-b', 'vm-c', 'vm-d', 'vm-e']
+/** (40 documents + catalogue) × 31 data centres ÷ 1,600 calls/s. */
+const PERIOD_MS = 41 * 31 * 1000 / 1600
+
+interface Reader { readonly vmId: string, readonly db: DocumentsDb }
+
+function readers (): Reader[] {
+  return VM_IDS.map(vmId => {
+    const db = documents.createDb(documents.defaults)
+    documents.offer(db, catalogueValue(1, SERVICES, DATA_CENTRES), 0)
+    documents.offer(db, vmListValue('dc-3', 1, VM_IDS), 0)
+    return { vmId, db }
+  })
+}
+
+function viewOf (vmId: string, liveVmIds: readonly string[] = VM_IDS): ReaderView {
+  return { ownVmId: vmId, ownDataCentre: 'dc-3', dataCentres: DATA_CENTRES, liveVmIds }
+}
+
+/** Runs the data centre and counts the reads of each key by each node. Answers go out as `isAnswered` says. */
+function run (
+  nodes: readonly Reader[], fromMs: number, untilMs: number, isAnswered: (vmId: string) => boolean, live = nodes
+): Map<string, string[]> {
+  const reads = new Map<string, string[]>()
+  for (let nowMs = fromMs; nowMs < untilMs; nowMs += 50) {
+    for (const node of nodes) {
+      for (const { key } of documents.duePolls(node.db, viewOf(node.vmId, live.map(entry => entry.vmId)), nowMs)) {
+        reads.set(key, [...reads.get(key) ?? [], node.vmId])
+        documents.pollAnswered(node.db, key, isAnswered(node.vmId), nowMs)
+        if (!isAnswered(node.vmId)) continue
+        const watchers = documents.watchersOf(node.db, key)
+        for (const one of nodes) if (watchers.includes(one.vmId)) documents.readerHeard(one.db, key, nowMs)
+      }
+    }
+  }
+  return reads
+}
+
+describe('poll plan', () => {
+  test('each key has one reader in its data centre, at the period that keeps the fleet below the limit', () => {
+    const reads = run(readers(), 0, 40 * PERIOD_MS, () => true)
+    expect(reads.size).toBe(SERVICES.length + 2)
+    for (const [key, vmIds] of reads) {
+      expect([key, new Set(vmIds).size]).toEqual([key, 1])
+      const periods = key.startsWith('vms/') ? 40 * PERIOD_MS / 1000 : 40
+      expect(Math.abs(vmIds.length - periods)).toBeLessThanOrEqual(2)
+    }
+  })
+
+  test('the next node by rank takes over from a silent reader after two periods and stops when it is back', () => {
+    const nodes = readers()
+    const before = run(nodes, 0, 5 * PERIOD_MS, () => true)
+    const reader = before.get('documents/service-1')![0]!
+    const frozen = run(nodes.filter(node => node.vmId !== reader), 5 * PERIOD_MS, 10 * PERIOD_MS, () => true, nodes)
+    expect(new Set(frozen.get('documents/service-1')).size).toBe(1)
+    expect(frozen.get('documents/service-1')!.length).toBeGreaterThanOrEqual(2)
+    run(nodes, 10 * PERIOD_MS, 13 * PERIOD_MS, () => true)
+    const after = run(nodes, 13 * PERIOD_MS, 18 * PERIOD_MS, () => true)
+    expect(new Set(after.get('documents/service-1'))).toEqual(new Set([reader]))
+  })
+
+  test('a reader without answers is replaced by one that has them', () => {
+    const nodes = readers()
+    const reader = run(nodes, 0, 2 * PERIOD_MS, () => true).get('documents/service-1')![0]!
+    const reads = run(nodes, 2 * PERIOD_MS, 12 * PERIOD_MS, vmId => vmId !== reader).get('documents/service-1')!
+    expect(reads.filter(vmId => vmId !== reader).length).toBeGreaterThanOrEqual(7)
+  })
+
+  test('reads stay below the limit of the platform while it does not answer', () => {
+    const reads = run(readers(), 0, 40 * PERIOD_MS, () => false)
+    const documentReads = [...reads].filter(([key]) => !key.startsWith('vms/')).flatMap(([, vmIds]) => vmIds)
+    expect(documentReads.length * DATA_CENTRES.length / (40 * PERIOD_MS / 1000)).toBeLessThan(1_600)
+  })
+
+  test('without the own VM list only that list and the catalogue are read, so that a fleet start is no flood', () => {
+    const db = documents.createDb(documents.defaults)
+    documents.offer(db, catalogueValue(1, SERVICES, DATA_CENTRES), 0)
+    const keys = documents.duePolls(db, viewOf('vm-a', ['vm-a']), 10).map(poll => poll.key)
+    expect(keys).toEqual(['vms/dc-3', 'catalogue'])
+    expect(documents.duePolls(db, viewOf('vm-a', ['vm-a']), 5_000)).toEqual([])
+    expect(documents.duePolls(db, viewOf('vm-a', ['vm-a']), 10_010).map(poll => poll.key)).toEqual(keys)
+  })
+
+  test('a list counts as confirmed by an answer or a peer, not by having been passed on', () => {
+    const db = documents.createDb(documents.defaults)
+    documents.offer(db, vmListValue('dc-3', 4, VM_IDS), 0)
+    expect(documents.confirmations(db, 60_000, 0)).toEqual([])
+    expect(documents.noteConfirmed(db, { key: 'vms/dc-3', revision: 3, ageMs: 0 }, 1_000)).toBe(false)
+    expect(documents.noteConfirmed(db, { key: 'vms/dc-3', revision: 4, ageMs: 900 }, 1_000)).toBe(true)
+    expect(documents.noteConfirmed(db, { key: 'vms/dc-3', revision: 4, ageMs: 2_000 }, 1_500)).toBe(false)
+    expect(documents.confirmations(db, 60_000, 2_000)).toEqual([{ key: 'vms/dc-3', revision: 4, ageMs: 1_900 }])
+    documents.pollAnswered(db, 'vms/dc-3', true, 3_000)
+    expect(documents.confirmations(db, 60_000, 3_000)[0]?.ageMs).toBe(0)
+  })
+
+  test('an answer does not confirm a list while a newer one was seen and refused', () => {
+    const db = documents.createDb(documents.defaults)
+    documents.offer(db, vmListValue('dc-3', 4, VM_IDS), 0)
+    documents.offer(db, { key: 'vms/dc-3', revision: 5, text: '{}' }, 0)
+    documents.pollAnswered(db, 'vms/dc-3', true, 3_000)
+    expect(documents.confirmations(db, 60_000, 3_000)).toEqual([])
+  })
+})
--- a/src/core/documents/documentsTypes.ts
+++ b/src/core/documents/documentsTypes.ts
@@ -59,8 +59,16 @@
   readonly reason: string
 }
 
+/** The published catalogue. */
+export interface Catalogue {
+  readonly serviceNames: readonly string[]
+  readonly dataCentres: readonly string[]
+}
+
 export type OfferResult =
   | { readonly kind: 'accepted', readonly inForce: DocumentInForce, readonly conflict: boolean }
+  /** A newer VM list or catalogue. */
+  | { readonly kind: 'stored', readonly value: PublishedValue }
   | { readonly kind: 'known' }
   | { readonly kind: 'older', readonly inForceVersion: number, readonly offeredVersion: number }
   | { readonly kind: 'rejected', readonly faults: readonly DocumentFault[] }
@@ -90,11 +98,28 @@
   readonly afterRevision: number
 }
 
+/** Word that a VM list was the newest published one some time ago. */
+export interface Confirmation {
+  readonly key: string
+  readonly revision: number
+  readonly ageMs: Millis
+}
+
 /** What to send to peers. */
 export type SpreadMessage =
   | { readonly kind: 'marks', readonly marks: readonly PublishedMark[] }
-  | { readonly kind: 'digest', readonly digest: number, readonly count: number }
-  | { readonly kind: 'want', readonly keys: readonly string[] }
+  /** `buckets` are the digests of each bucket of keys; only sent to a peer whose digest differs. */
+  | {
+    readonly kind: 'digest'
+    readonly digest: number
+    readonly count: number
+    readonly buckets?: readonly number[]
+    readonly confirmed?: readonly Confirmation[]
+  }
+  /** Asks for the marks of keys and of whole buckets. */
+  | { readonly kind: 'want', readonly keys: readonly string[], readonly buckets?: readonly number[] }
+  /** A reader of the platform tells the next nodes by rank which keys it has just read. */
+  | { readonly kind: 'read', readonly keys: readonly string[] }
 
 export interface DocumentsSettings {
   readonly platformCallsPerS: number
@@ -113,7 +138,7 @@
 
 /** Documents in force, the other published values, and their spread. */
 export interface DocumentsModule<Db> extends CoreModule<Db, DocumentsSettings> {
-  /** Takes a value from the platform or a peer. Only `documents/…` values are checked against the schema here. */
+  /** Takes a value from the platform or a peer. Each value is checked against the schema of its kind. */
   offer (db: Db, value: PublishedValue, nowMs: Millis): OfferResult
   documentOf (db: Db, serviceName: string): DocumentInForce | undefined
   documents (db: Db): readonly DocumentInForce[]
@@ -121,12 +146,26 @@
   valueOf (db: Db, key: string): PublishedValue | undefined
   marks (db: Db): PublishedMark[]
   digest (db: Db): number
+  /** Digest of each bucket of keys, so that peers exchange only the marks of buckets that differ. */
+  bucketDigests (db: Db): readonly number[]
+  marksOfBuckets (db: Db, buckets: readonly number[]): PublishedMark[]
+  /** Keys whose version in force was published with different texts. */
+  conflicts (db: Db): string[]
+  catalogue (db: Db): Catalogue | undefined
   /** Rejected edits that are newer than what is in force, for operators. */
   rejected (db: Db): RejectedEdit[]
   /** Conditional reads that this node should send now. */
   duePolls (db: Db, view: ReaderView, nowMs: Millis): PollRequest[]
   /** Notes that the platform answered, with or without news, or failed. */
   pollAnswered (db: Db, key: string, answered: boolean, nowMs: Millis): void
+  /** Nodes to tell after a successful read of a key, so that they do not take over. */
+  watchersOf (db: Db, key: string): readonly string[]
+  /** Notes that another node of the data centre has read a key. */
+  readerHeard (db: Db, key: string, nowMs: Millis): void
+  /** VM lists held that the platform confirmed within `maxAgeMs`, by this node's reads or a peer's word. */
+  confirmations (db: Db, maxAgeMs: Millis, nowMs: Millis): Confirmation[]
+  /** Takes a peer's word; true when the list held is confirmed later than was known. */
+  noteConfirmed (db: Db, confirmation: Confirmation, nowMs: Millis): boolean
   /** Marks that a peer holds and this node lacks, so that they are pulled. */
   missing (db: Db, marks: readonly PublishedMark[]): PublishedMark[]
   /** Route of a request, or undefined. The longest matching prefix wins. */
--- /dev/null
+++ b/src/core/documents/publishedText.ts
@@ -0,0 +1,141 @@
+import { Either, Left, Right } from 'purify-ts'
+import { LineCounter, isAlias, isMap, isNode, isScalar, parseDocument, type Document } from 'yaml'
+import { z } from 'zod'
+import type { DocumentFault } from './documentsTypes.js'
+
+/** Largest value that the configuration service holds. */
+export const VALUE_MAX_BYTES = 1_048_576
+
+/** Path of a field: names and list indexes from the root. */
+export type FieldPath = ReadonlyArray<string | number>
+
+/** A fault before its line is known. */
+export interface FieldFault {
+  readonly path: FieldPath
+  readonly reason: string
+}
+
+/** A parsed text that can tell the line of a field. */
+export interface ParsedText {
+  readonly value: unknown
+  lineOf (path: FieldPath): number | null
+}
+
+/**
+ * Text form of a field path.
+ *
+ * @example
+ * pathText(['routes', 0, 'name']) // 'routes[0].name'
+ */
+export function pathText (path: FieldPath): string {
+  const text = path.map(part => typeof part === 'number' ? `[${part}]` : `.${part}`).join('')
+  return text === '' ? '(root)' : text.replace(/^\./, '')
+}
+
+function keyOffset (node: unknown, key: string | number): number | null {
+  if (!isMap(node)) return null
+  const pair = node.items.find(item => isScalar(item.key) && item.key.value === key)
+  return isNode(pair?.key) ? pair.key.range?.[0] ?? null : null
+}
+
+function offsetOf (document: Document, path: FieldPath): number {
+  for (let depth = path.length; depth > 0; depth -= 1) {
+    const parent = document.getIn(path.slice(0, depth - 1), true)
+    const offset = keyOffset(parent, path[depth - 1]!)
+    if (offset !== null) return offset
+    const node = document.getIn(path.slice(0, depth), true)
+    if (isNode(node) && !isAlias(node) && node.range != null) return node.range[0]
+  }
+  return isNode(document.contents) ? document.contents.range?.[0] ?? 0 : 0
+}
+
+/**
+ * Parses YAML or JSON. Repeated keys and expanding aliases are faults.
+ *
+ * @example
+ * parseText('version: 7').map(parsed => parsed.lineOf(['version'])) // Right(1)
+ *
+ * Errors: the faults of the YAML parser with their lines.
+ */
+export function parseText (text: string): Either<DocumentFault[], ParsedText> {
+  if (Buffer.byteLength(text) > VALUE_MAX_BYTES) {
+    return Left([{ path: '(root)', line: null, reason: `is larger than ${VALUE_MAX_BYTES} bytes` }])
+  }
+  const lines = new LineCounter()
+  const document = parseDocument(text, { lineCounter: lines, prettyErrors: false })
+  if (document.errors.length > 0) {
+    return Left(document.errors.map(error => ({
+      path: '(root)', line: lines.linePos(error.pos[0]).line, reason: error.message.split('\n')[0] ?? error.code
+    })))
+  }
+  try {
+    const value: unknown = document.toJS()
+    return Right({ value, lineOf: path => lines.linePos(offsetOf(document, path)).line })
+  } catch (error) {
+    return Left([{ path: '(root)', line: null, reason: error instanceof Error ? error.message : String(error) }])
+  }
+}
+
+/** Adds the line to each fault. */
+export function locate (faults: readonly FieldFault[], parsed: ParsedText): DocumentFault[] {
+  return faults.map(fault => ({
+    path: pathText(fault.path), line: parsed.lineOf(fault.path), reason: fault.reason
+  }))
+}
+
+const VALUE_TEXT_MAX_LENGTH = 60
+
+function shown (value: unknown): string {
+  const text = JSON.stringify(value) ?? String(value)
+  return text.length > VALUE_TEXT_MAX_LENGTH ? `${text.slice(0, VALUE_TEXT_MAX_LENGTH)}...` : text
+}
+
+function valueAt (value: unknown, path: FieldPath): unknown {
+  return path.reduce<unknown>((at, part) => (at as Record<string | number, unknown> | null | undefined)?.[part], value)
+}
+
+function unwrapped (schema: z.ZodType | undefined): z.ZodType | undefined {
+  return schema instanceof z.ZodDefault ? unwrapped(schema.def.innerType as z.ZodType) : schema
+}
+
+/** Schema of the field at a path, or undefined when the schema has no such field. */
+export function schemaAt (schema: z.ZodType, path: FieldPath): z.ZodType | undefined {
+  let at: z.ZodType | undefined = schema
+  for (const part of path) {
+    const outer = unwrapped(at)
+    if (outer instanceof z.ZodObject) at = outer.shape[part] as z.ZodType | undefined
+    else if (outer instanceof z.ZodArray) at = outer.element as z.ZodType
+    else return undefined
+  }
+  return at
+}
+
+/** What a field allows, from the metadata of its schema. */
+export function allowedText (schema: z.ZodType | undefined): string {
+  const own = schema?.meta()?.['allowed'] ?? unwrapped(schema)?.meta()?.['allowed']
+  if (typeof own === 'string') return own
+  const inner = unwrapped(schema)
+  if (inner instanceof z.ZodObject) return `a map with the fields ${Object.keys(inner.shape).join(', ')}`
+  return inner instanceof z.ZodArray ? 'a list' : 'another value'
+}
+
+function faultsOfIssue (schema: z.ZodType, issue: z.core.$ZodIssue, value: unknown): FieldFault[] {
+  const path = issue.path.map(part => typeof part === 'number' ? part : String(part))
+  const allowed = allowedText(schemaAt(schema, path))
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => ({ path: [...path, key], reason: `unknown field; allowed is ${allowed}` }))
+  }
+  const found = valueAt(value, path)
+  return [{ path, reason: `${found === undefined ? 'is missing' : `is ${shown(found)}`}; allowed is ${allowed}` }]
+}
+
+/**
+ * Checks a value against a schema whose fields carry `allowed` metadata.
+ *
+ * Errors: one fault for each wrong, missing or unknown field.
+ */
+export function checkShape<T> (schema: z.ZodType<T>, value: unknown): Either<FieldFault[], T> {
+  const result = schema.safeParse(value)
+  if (result.success) return Right(result.data)
+  return Left(result.error.issues.flatMap(issue => faultsOfIssue(schema, issue, value)))
+}
