--- /dev/null
+++ b/src/core/retry/retryBudget.spec.ts
@@ -0,0 +1,150 @@
+import fc from 'fast-check'
+import { Outcome, Reason } from '../coreTypes.js'
+import { retryDefinition as retry } from './retryDefinition.js'
+import type { RetryDb } from './retryDb.js'
+import type { RetryQuestion } from './retryTypes.js'
+
+const MAX_DEPTH = 12
+const question = (accountId: string, changes: Partial<RetryQuestion> = {}): RetryQuestion => ({
+  accountId,
+  outcome: Outcome.NotRun,
+  reason: Reason.Draining,
+  idempotent: true,
+  remainingMs: 500,
+  expectedMs: 20,
+  ...changes
+})
+
+interface Call { readonly node: RetryDb, readonly accountId: string, readonly depth: number, from?: Loan }
+interface Loan { readonly lender: Call, readonly lentCount: number }
+interface Answer { readonly loan: Loan, readonly returnedCount: number }
+
+class Chain {
+  readonly nodes = Array.from({ length: 5 }, () => retry.createDb(retry.defaults))
+  readonly open: Call[] = []
+  readonly requests: Array<Loan & { readonly callId: string }> = []
+  readonly answers: Answer[] = []
+  retriesCount = 0
+  callsCount = 0
+
+  root (budgetCount: number): void {
+    const node = this.nodes[0]!
+    this.open.push({ node, accountId: retry.openRoot(node, 'r', budgetCount, 0).accountId, depth: 0 })
+  }
+
+  step (action: number, pick: number): void {
+    const call = this.open[pick % this.open.length]
+    if (action === 0 && call !== undefined && call.depth < MAX_DEPTH) this.send(call)
+    if (action === 1) this.receive(pick)
+    if (action === 2 && call !== undefined && call.depth > 0) this.answer(call)
+    if (action === 3) this.settle(pick)
+    if (action === 4 && call !== undefined) this.retry(call, pick)
+    if (action === 5) this.requests.splice(pick % 7, 1)
+    if (action === 6) this.answers.splice(pick % 7, 1)
+  }
+
+  send (call: Call): void {
+    const lentCount = retry.lend(call.node, call.accountId, 0)
+    this.requests.push({ lender: call, lentCount, callId: `c${this.callsCount++}` })
+  }
+
+  receive (pick: number): void {
+    const [request] = this.requests.splice(pick % Math.max(1, this.requests.length), 1)
+    if (request === undefined) return
+    const node = this.nodes[pick % this.nodes.length]!
+    const grant = retry.openCall(node, request.callId, request.lentCount, 0)
+    this.open.push({ node, accountId: grant.accountId, depth: request.lender.depth + 1, from: request })
+  }
+
+  answer (call: Call): void {
+    this.open.splice(this.open.indexOf(call), 1)
+    this.answers.push({ loan: call.from!, returnedCount: retry.close(call.node, call.accountId, 0) })
+  }
+
+  settle (pick: number): void {
+    const [answer] = this.answers.splice(pick % Math.max(1, this.answers.length), 1)
+    if (answer === undefined) return
+    const { lender, lentCount } = answer.loan
+    retry.returnLoan(lender.node, lender.accountId, lentCount, answer.returnedCount, 0)
+  }
+
+  retry (call: Call, pick: number): void {
+    const outcome = pick % 2 === 0 ? Outcome.NotRun : Outcome.Unknown
+    const decision = retry.decide(call.node, question(call.accountId, { outcome }), 0, () => 0.5)
+    if (decision.kind === 'give_up') return
+    this.retriesCount++
+    this.send(call)
+  }
+
+  totalCount (): number {
+    const left = this.nodes.flatMap(db => [...db.accounts.values(), ...db.callAccounts.values()])
+      .reduce((sum, account) => sum + account.leftCount, 0)
+    const down = this.requests.reduce((sum, request) => sum + request.lentCount, 0)
+    const up = this.answers.reduce((sum, answer) => sum + answer.returnedCount, 0)
+    return left + down + up + this.retriesCount
+  }
+}
+
+describe('retry budget', () => {
+  test('a chain of any shape never makes budget out of lost answers, resends or fan-out', () => {
+    const steps = fc.array(fc.tuple(fc.integer({ min: 0, max: 7 }), fc.nat(1000)), { maxLength: 300 })
+    fc.assert(fc.property(fc.nat(40), steps, (budgetCount, actions) => {
+      const chain = new Chain()
+      chain.root(budgetCount)
+      for (const [action, pick] of actions) {
+        if (action === 7) chain.root(budgetCount)
+        else chain.step(action, pick)
+        expect(chain.totalCount()).toBeLessThanOrEqual(budgetCount)
+        expect(chain.nodes.flatMap(db => retry.violations(db, 0))).toEqual([])
+      }
+    }), { seed: 11, numRuns: 300 })
+  })
+
+  test('the default budget lends one and keeps one, so that the layer above a failure can retry', () => {
+    const db = retry.createDb(retry.defaults)
+    const { accountId } = retry.openRoot(db, 'r', 2, 0)
+    expect([retry.lend(db, accountId, 0), retry.lend(db, accountId, 0)]).toEqual([1, 0])
+    expect(retry.decide(db, question(accountId), 0, () => 0)).toEqual({ kind: 'retry', delayMs: 0 })
+    expect(retry.decide(db, question(accountId), 0, () => 0)).toEqual({ kind: 'give_up' })
+  })
+
+  test('an answer that claims more than was lent, or comes twice, cannot inflate the budget', () => {
+    const db = retry.createDb(retry.defaults)
+    const { accountId } = retry.openRoot(db, 'r', 4, 0)
+    retry.lend(db, accountId, 0)
+    retry.returnLoan(db, accountId, 2, 99, 0)
+    retry.returnLoan(db, accountId, 2, 2, 0)
+    expect(retry.accountOf(db, accountId)?.budgetCount).toBe(4)
+  })
+
+  test('a root id that equals a call id does not reach that call\'s account', () => {
+    const db = retry.createDb(retry.defaults)
+    retry.openCall(db, 'x', 3, 0)
+    expect(retry.openRoot(db, 'x', 1, 0).budgetCount).toBe(1)
+    expect(retry.close(db, 'x', 0)).toBe(3)
+    expect(retry.openRoot(db, 'x', 5, 0).budgetCount).toBe(1)
+  })
+
+  test('accounts expire after their last use, so that the memory stays bounded', () => {
+    const db = retry.createDb(retry.defaults)
+    retry.openRoot(db, 'old', 2, 0)
+    retry.openRoot(db, 'used', 2, 0)
+    retry.openRoot(db, 'used', 2, 60_000)
+    retry.tick(db, 120_000)
+    expect([...db.accounts.keys()]).toEqual(['root/used'])
+  })
+
+  test.each([
+    ['overload refused deeper', { reason: Reason.Overload }],
+    ['chain overload', { reason: Reason.ChainOverload }],
+    ['a quarantined request', { reason: Reason.Quarantined }],
+    ['an unknown outcome of a non-idempotent call', { outcome: Outcome.Unknown, idempotent: false }],
+    ['a share used up at the owner node of a key', { reason: Reason.ShareUsed, idempotent: false }],
+    ['a deadline too near for another attempt', { remainingMs: 20 }]
+  ])('%s is final and costs no budget', (_name, changes) => {
+    const db = retry.createDb(retry.defaults)
+    const { accountId } = retry.openRoot(db, 'r', 2, 0)
+    expect(retry.decide(db, question(accountId, changes), 0, () => 0).kind).toBe('give_up')
+    expect(retry.accountOf(db, accountId)?.budgetCount).toBe(2)
+  })
+})
