Add the connection pool of the call path

Cause: calls to the own backend server and to other nodes need a client that owns its sockets, knows whether a byte left it, and never passes on a cut-off, late or crossed answer. Ruled out: undici's Pool, which reconnects by itself and hides which connection carried a call; its header and body timers, whose resolution is about 500 ms; answers whose end is only the end of the connection, because a cut-off one looks the same.

--- /dev/null
+++ b/src/node/poolCall.ts
@@ -0,0 +1,108 @@
+import type { IncomingHttpHeaders } from 'node:http'
+import type { Dispatcher } from 'undici'
+import type { Millis } from '../clock/clock.js'
+import { Reason } from '../core/coreTypes.js'
+import type { PoolConnection } from './poolConnection.js'
+import type { PoolAnswer, PoolFailure, PoolRequest } from './poolTypes.js'
+
+const CALL_HEADER = 'ragwortspur-call'
+
+/** What the pool does when a call ends. */
+export interface CallOwner {
+  answered (call: PoolCall, answer: Omit<PoolAnswer, 'kind' | 'tookMs'>, reusable: boolean): void
+  failed (call: PoolCall, reason: PoolFailure): void
+  /** The connection closed before a byte of the request was written. */
+  unsent (call: PoolCall, error: Error): void
+}
+
+/** One request on its way: collects the answer and checks that it is whole and belongs to the request. */
+export class PoolCall implements Dispatcher.DispatchHandler {
+  readonly request: PoolRequest
+  readonly startedMs: Millis
+  readonly isProbe: boolean
+  connection: PoolConnection | null = null
+  bytesSent = false
+  resentCount = 0
+  ended = false
+  readonly #owner: CallOwner
+  readonly #answerMaxBytes: number
+  #status = 0
+  #headers: IncomingHttpHeaders = {}
+  #chunks: Buffer[] = []
+  #sizeBytes = 0
+
+  constructor (request: PoolRequest, owner: CallOwner, answerMaxBytes: number, startedMs: Millis, isProbe: boolean) {
+    this.request = request
+    this.#owner = owner
+    this.#answerMaxBytes = answerMaxBytes
+    this.startedMs = startedMs
+    this.isProbe = isProbe
+  }
+
+  /** Sends the call on a connection. */
+  dispatchOn (connection: PoolConnection): void {
+    this.connection = connection
+    const { method, path, headers, body } = this.request
+    connection.dispatch({ method, path, headers, body }, this)
+  }
+
+  /** Called by undici in the same step as the write of the request head. */
+  onRequestStart (): void {
+    this.bytesSent = true
+  }
+
+  onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    if (this.ended || status < 200) return
+    this.#status = status
+    this.#headers = headers
+    const echo = headers[CALL_HEADER]
+    if (echo !== undefined && echo !== this.request.headers[CALL_HEADER]) this.#fail(Reason.AnswerCrossed)
+    else if (!this.#hasEndMark()) this.#fail(Reason.AnswerTruncated)
+    else if (Number(headers['content-length'] ?? 0) > this.#answerMaxBytes && this.request.method !== 'HEAD') {
+      this.#fail(Reason.BodyTooLarge)
+    }
+  }
+
+  onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.ended) return
+    this.#sizeBytes += chunk.length
+    if (this.#sizeBytes > this.#answerMaxBytes) this.#fail(Reason.BodyTooLarge)
+    else this.#chunks.push(chunk)
+  }
+
+  onResponseEnd (): void {
+    if (this.ended) return
+    const { headers, setCookies } = flatten(this.#headers)
+    const reusable = this.request.method !== 'HEAD' && !/\bclose\b/i.test(headers.connection ?? '')
+    const body = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks)
+    this.#owner.answered(this, { status: this.#status, headers, setCookies, body }, reusable)
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.ended) return
+    if (!this.bytesSent) this.#owner.unsent(this, error)
+    else this.#fail(this.#status === 0 ? Reason.ConnectionLost : Reason.AnswerTruncated)
+  }
+
+  #fail (reason: PoolFailure): void {
+    this.#owner.failed(this, reason)
+  }
+
+  /** An answer that ends with its connection cannot be told from one that was cut off. */
+  #hasEndMark (): boolean {
+    if (this.request.method === 'HEAD' || this.#status === 204 || this.#status === 304) return true
+    const encoding = this.#headers['transfer-encoding']
+    return this.#headers['content-length'] !== undefined || /\bchunked\s*$/i.test(String(encoding ?? ''))
+  }
+}
+
+function flatten (read: IncomingHttpHeaders): { headers: Record<string, string>, setCookies: readonly string[] } {
+  const headers: Record<string, string> = {}
+  let setCookies: readonly string[] = []
+  for (const name in read) {
+    const value = read[name]
+    if (name === 'set-cookie') setCookies = Array.isArray(value) ? value : [String(value)]
+    else if (value !== undefined) headers[name] = Array.isArray(value) ? value.join(', ') : value
+  }
+  return { headers, setCookies }
+}
