Add stand-ins for outside systems and the load generator

Cause: the node meets a configuration service, backend servers and callers only through their protocols, so demos, benches and fault tests need processes that speak these protocols and can be told to fail. Ruled out: undici's own request timeouts in the load generator, which have a resolution of about a second; each send has its own timer. A closed loop, which slows down with the system under test and hides its queue. Change: src/standins/ has a configuration service with watches and call counts, a backend server with slots, sub-calls and faults, an open-loop caller that resends and checks each answer, and a relay for TCP, UDP and HTTP.

--- /dev/null
+++ b/src/standins/subCalls.ts
@@ -0,0 +1,69 @@
+import type { IncomingHttpHeaders } from 'node:http'
+import { Pool } from 'undici'
+import { checkAnswer } from './answerText.js'
+import type { SubCall } from './backendTypes.js'
+
+const SUB_CALL_CONNECTIONS_COUNT = 1024
+/** Headers that the node or the next sender sets anew for each call. */
+const OWN_HEADERS = new Set(['ragwortspur-caller', 'ragwortspur-service', 'ragwortspur-deadline-ms', 'ragwortspur-attempt'])
+
+/** The call on whose behalf sub-calls are made. */
+export interface ParentCall {
+  readonly rootId: string
+  readonly key: string | undefined
+  readonly headers: IncomingHttpHeaders
+  readonly remainingMs: number | undefined
+  readonly signal: AbortSignal
+}
+
+/**
+ * Headers of a sub-call: the `ragwortspur-*` headers of the parent call, the own
+ * service as caller, and a key derived from the parent's key.
+ *
+ * @example
+ * subCallHeaders('delivery-booking', { service: 'invoicing', method: 'POST', path: '/invoices' }, parent)
+ */
+export function subCallHeaders (ownService: string, call: SubCall, parent: ParentCall): Record<string, string> {
+  const headers: Record<string, string> = {}
+  for (const [name, value] of Object.entries(parent.headers)) {
+    if (name.startsWith('ragwortspur-') && !OWN_HEADERS.has(name)) headers[name] = String(value)
+  }
+  headers['ragwortspur-caller'] = ownService
+  headers['ragwortspur-service'] = call.service
+  headers['ragwortspur-attempt'] = '1'
+  if (parent.remainingMs !== undefined) {
+    headers['ragwortspur-deadline-ms'] = String(Math.max(1, Math.floor(parent.remainingMs)))
+  }
+  if (parent.key !== undefined) headers['idempotency-key'] = `${parent.key}:${call.service}`
+  return headers
+}
+
+/** Sends the sub-calls of one backend server through the node on its VM. */
+export class SubCallClient {
+  readonly #pool: Pool
+  readonly #ownService: string
+
+  constructor (nodeAddress: string, ownService: string) {
+    this.#pool = new Pool(`http://${nodeAddress}`, { connections: SUB_CALL_CONNECTIONS_COUNT, pipelining: 1 })
+    this.#ownService = ownService
+  }
+
+  /** Makes one sub-call and returns whether it ended with a whole answer of its own. */
+  async call (call: SubCall, parent: ParentCall): Promise<boolean> {
+    try {
+      const headers = subCallHeaders(this.#ownService, call, parent)
+      const body = call.method === 'GET' ? null : JSON.stringify({ root: parent.rootId })
+      const { statusCode, body: answer } = await this.#pool.request({
+        method: call.method, path: call.path, headers, body, signal: parent.signal
+      })
+      const text = await answer.text()
+      return statusCode === 200 && checkAnswer(text, parent.rootId, call.service).kind === 'own'
+    } catch {
+      return false
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.#pool.destroy()
+  }
+}
