--- a/src/core/documents/documentsDefinition.ts
+++ b/src/core/documents/documentsDefinition.ts
@@ -44,6 +44,7 @@
   marks: db => [...db.held.values()].map(held => held.mark),
   digest: db => db.digest,
   bucketDigests: db => db.buckets,
+  marksOfKeys: (db, keys) => keys.flatMap(key => db.held.get(key)?.mark ?? []),
   marksOfBuckets: (db, buckets) => [...db.held.values()]
     .map(held => held.mark).filter(mark => buckets.includes(bucketOf(mark.key))),
   conflicts: db => [...db.conflicts],
--- a/src/core/documents/documentsTypes.ts
+++ b/src/core/documents/documentsTypes.ts
@@ -148,6 +148,7 @@
   digest (db: Db): number
   /** Digest of each bucket of keys, so that peers exchange only the marks of buckets that differ. */
   bucketDigests (db: Db): readonly number[]
+  marksOfKeys (db: Db, keys: readonly string[]): PublishedMark[]
   marksOfBuckets (db: Db, buckets: readonly number[]): PublishedMark[]
   /** Keys whose version in force was published with different texts. */
   conflicts (db: Db): string[]
--- /dev/null
+++ b/src/node/peerLink.ts
@@ -0,0 +1,231 @@
+import { createSocket, type RemoteInfo, type Socket } from 'node:dgram'
+import { once } from 'node:events'
+import {
+  createJSONRPCRequest, isJSONRPCRequest, isJSONRPCResponse, JSONRPCClient, JSONRPCServer, type JSONRPCRequest
+} from 'json-rpc-2.0'
+import { Either, Left } from 'purify-ts'
+import type { Millis } from '../clock/clock.js'
+import type { LeaseRequest, LeaseVote } from '../core/idempotency/idempotencyTypes.js'
+import { Step, StepError } from '../errors/errors.js'
+import { DATAGRAM_HEADER_BYTES, type ControlBytes } from './controlBytes.js'
+import {
+  DATAGRAM_MAX_BYTES, encodeMessage, leaseRequestParams, MESSAGE_METHODS, readLeaseRequest, readMessage, readVote,
+  voteResult, type PeerMessage
+} from './peerMessages.js'
+
+export interface PeerLinkOptions {
+  readonly host: string
+  /** UDP port; 0 takes a free one. */
+  readonly port: number
+  /** Tells this process's requests from those of its predecessor on the same port. */
+  readonly incarnation: string
+  readonly leaseTimeoutMs: Millis
+  /** Messages accepted a second from one address, and from all of them. */
+  readonly acceptedPerAddressPerS: number
+  readonly acceptedPerS: number
+  readonly nowMs: () => Millis
+  readonly onMessage: (message: PeerMessage, fromAddress: string) => void
+  readonly onLeaseRequest: (request: LeaseRequest, fromAddress: string) => LeaseVote
+}
+
+export const PEER_LINK_DEFAULTS = {
+  leaseTimeoutMs: 1_000, acceptedPerAddressPerS: 200, acceptedPerS: 5_000
+} as const
+
+export interface PeerLinkCounters extends ControlBytes {
+  /** Messages dropped because they broke the schema or answered nothing that was asked. */
+  malformedCount: number
+  /** Messages dropped because the sender was above the bound. */
+  aboveBoundCount: number
+  /** Datagrams that the operating system did not take. */
+  unsentCount: number
+}
+
+export interface PeerLink {
+  /** Opens the socket and returns its port. */
+  start (): Promise<number>
+  stop (): Promise<void>
+  send (toAddress: string, message: PeerMessage): void
+  /** Asks a voter. Errors: no answer in time, or a wrong one. */
+  requestLease (toAddress: string, request: LeaseRequest): Promise<Either<StepError, LeaseVote>>
+  counters (): Readonly<PeerLinkCounters>
+}
+
+/** Splits `ip:port`, with an IPv6 address in brackets. */
+function splitAddress (address: string): { host: string, port: number } {
+  const at = address.lastIndexOf(':')
+  return { host: address.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(address.slice(at + 1)) }
+}
+
+function addressOf (from: RemoteInfo): string {
+  return from.family === 'IPv6' ? `[${from.address}]:${from.port}` : `${from.address}:${from.port}`
+}
+
+/** Counts messages per address in whole seconds; the total bounds the size of the table. */
+class AcceptBound {
+  readonly #perAddress = new Map<string, number>()
+  readonly #options: PeerLinkOptions
+  #second = Number.NaN
+  #total = 0
+
+  constructor (options: PeerLinkOptions) {
+    this.#options = options
+  }
+
+  accepts (address: string): boolean {
+    const second = Math.floor(this.#options.nowMs() / 1000)
+    if (second !== this.#second) {
+      this.#second = second
+      this.#total = 0
+      this.#perAddress.clear()
+    }
+    const count = this.#perAddress.get(address) ?? 0
+    if (count >= this.#options.acceptedPerAddressPerS || this.#total >= this.#options.acceptedPerS) return false
+    this.#perAddress.set(address, count + 1)
+    this.#total += 1
+    return true
+  }
+}
+
+class UdpPeerLink implements PeerLink {
+  readonly #options: PeerLinkOptions
+  readonly #bound: AcceptBound
+  readonly #server = new JSONRPCServer<string>({ errorListener: () => { this.#counters.malformedCount += 1 } })
+  readonly #client: JSONRPCClient<string>
+  /** Address from which the answer to each open request has to come. */
+  readonly #asked = new Map<string, string>()
+  readonly #counters: PeerLinkCounters = {
+    sentBytes: 0, receivedBytes: 0, malformedCount: 0, aboveBoundCount: 0, unsentCount: 0
+  }
+
+  #socket: Socket | null = null
+  #nextId = 0
+
+  constructor (options: PeerLinkOptions) {
+    this.#options = options
+    this.#bound = new AcceptBound(options)
+    this.#client = new JSONRPCClient<string>((payload, toAddress) => this.#transmit(JSON.stringify(payload), toAddress))
+    for (const method of MESSAGE_METHODS) {
+      this.#server.addMethod(method, (params, fromAddress) => readMessage(method, params).caseOf({
+        Right: message => this.#options.onMessage(message, fromAddress),
+        Left: () => { this.#counters.malformedCount += 1 }
+      }))
+    }
+    this.#server.addMethod('lease_request', (params, fromAddress) => {
+      const request = readLeaseRequest(params).unsafeCoerce()
+      return voteResult(this.#options.onLeaseRequest(request, fromAddress))
+    })
+  }
+
+  async start (): Promise<number> {
+    const socket = createSocket(this.#options.host.includes(':') ? 'udp6' : 'udp4')
+    socket.on('message', (data, from) => { this.#receive(data, from) })
+    const listening = once(socket, 'listening')
+    socket.bind(this.#options.port, this.#options.host)
+    await listening
+    // Errors after the start come from single datagrams, such as an unreachable peer.
+    socket.on('error', () => { this.#counters.unsentCount += 1 })
+    this.#socket = socket
+    return socket.address().port
+  }
+
+  async stop (): Promise<void> {
+    const socket = this.#socket
+    if (socket === null) return
+    this.#socket = null
+    this.#client.rejectAllPendingRequests('the link has stopped')
+    const closed = once(socket, 'close')
+    socket.close()
+    await closed
+  }
+
+  send (toAddress: string, message: PeerMessage): void {
+    for (const text of encodeMessage(message)) this.#transmit(text, toAddress)
+  }
+
+  async requestLease (toAddress: string, request: LeaseRequest): Promise<Either<StepError, LeaseVote>> {
+    const id = `${this.#options.incarnation}-${this.#nextId++}`
+    this.#asked.set(id, toAddress)
+    const fail = (reason: string): StepError => new StepError(Step.PeerMessage, toAddress, reason)
+    try {
+      const response = await this.#client.timeout(this.#options.leaseTimeoutMs)
+        .requestAdvanced(createJSONRPCRequest(id, 'lease_request', leaseRequestParams(request)), toAddress)
+      if (response.error !== undefined) return Left(fail(response.error.message))
+      return readVote(response.result).mapLeft(fail).ifLeft(() => { this.#counters.malformedCount += 1 })
+    } catch (error) {
+      return Left(fail(error instanceof Error ? error.message : String(error)))
+    } finally {
+      this.#asked.delete(id)
+    }
+  }
+
+  counters (): Readonly<PeerLinkCounters> {
+    return this.#counters
+  }
+
+  #transmit (text: string, toAddress: string): void {
+    const sizeBytes = Buffer.byteLength(text)
+    if (this.#socket === null || sizeBytes > DATAGRAM_MAX_BYTES) {
+      this.#counters.unsentCount += 1
+      return
+    }
+    const { host, port } = splitAddress(toAddress)
+    try {
+      this.#socket.send(text, port, host, error => {
+        if (error !== null) this.#counters.unsentCount += 1
+      })
+      this.#counters.sentBytes += sizeBytes + DATAGRAM_HEADER_BYTES
+    } catch {
+      this.#counters.unsentCount += 1
+    }
+  }
+
+  #receive (data: Buffer, from: RemoteInfo): void {
+    this.#counters.receivedBytes += data.length + DATAGRAM_HEADER_BYTES
+    const fromAddress = addressOf(from)
+    if (!this.#bound.accepts(fromAddress)) this.#counters.aboveBoundCount += 1
+    else if (!this.#handle(data, fromAddress)) this.#counters.malformedCount += 1
+  }
+
+  #handle (data: Buffer, fromAddress: string): boolean {
+    if (data.length > DATAGRAM_MAX_BYTES) return false
+    let payload: unknown
+    try {
+      payload = JSON.parse(data.toString('utf8'))
+    } catch {
+      return false
+    }
+    if (typeof payload !== 'object' || payload === null) return false
+    if (isJSONRPCResponse(payload)) {
+      if (this.#asked.get(String(payload.id)) !== fromAddress) return false
+      this.#client.receive(payload)
+      return true
+    }
+    return isJSONRPCRequest(payload) && this.#serve(payload, fromAddress)
+  }
+
+  /** Wrong messages get no answer, so that a forged source address draws no traffic. */
+  #serve (request: JSONRPCRequest, fromAddress: string): boolean {
+    if (!this.#server.hasMethod(request.method)) return false
+    const isAnswered = request.method === 'lease_request'
+    if (isAnswered !== (request.id !== undefined)) return false
+    if (isAnswered && (typeof request.id !== 'string' || request.id.length > 100)) return false
+    if (isAnswered && readLeaseRequest(request.params).isLeft()) return false
+    this.#server.receive(request, fromAddress).then(response => {
+      if (response !== null) this.#transmit(JSON.stringify(response), fromAddress)
+    }, () => { this.#counters.malformedCount += 1 })
+    return true
+  }
+}
+
+/**
+ * Opens the UDP link to the other nodes. It owns its socket.
+ *
+ * @example
+ * const link = openPeerLink({ ...PEER_LINK_DEFAULTS, host, port, incarnation, nowMs, onMessage, onLeaseRequest })
+ * await link.start()
+ * link.send('10.0.0.7:7401', { kind: 'read', keys: ['catalogue'] })
+ */
+export function openPeerLink (options: PeerLinkOptions): PeerLink {
+  return new UdpPeerLink(options)
+}
