--- a/src/core/ledger/ledgerTypes.ts
+++ b/src/core/ledger/ledgerTypes.ts
@@ -34,10 +34,13 @@
 export interface LedgerSettings {
   readonly nodeId: string
   readonly incarnation: string
+  /** Caller and service pairs counted one by one; further ones count under `(other)`. */
+  readonly tenantsCapacityCount?: number
 }
 
-/** Counts of one caller, service and importance. */
+/** Counts of one caller, service and importance in one role. */
 export interface LedgerCounts {
+  readonly role: RecordRole
   readonly callerName: string
   readonly serviceName: string
   readonly importance: Importance
@@ -47,8 +50,9 @@
   readonly cancelledCount: number
 }
 
-/** Reading of one histogram. */
+/** Reading of one histogram of the total times of done calls. */
 export interface LatencyReading {
+  readonly role: RecordRole
   readonly callerName: string
   readonly serviceName: string
   readonly importance: Importance
