--- a/src/core/admission/gate.ts
+++ b/src/core/admission/gate.ts
@@ -76,11 +76,15 @@
   db.totals.offeredCount += 1
   const times = timesOf(db, call.routeName)
   const closed = closedReason(db) ?? lateReason(db, call.deadlineAtMs, times, nowMs)
-  if (closed !== undefined) return [refuse(db, call.callId, closed)]
-  db.window.offeredByLevel[call.level] = (db.window.offeredByLevel[call.level] ?? 0) + 1
-  db.sequence += 1
-  enqueue(db, { call, sequence: db.sequence, times })
   const events: GateEvent[] = []
+  if (closed === undefined) {
+    db.window.offeredByLevel[call.level] = (db.window.offeredByLevel[call.level] ?? 0) + 1
+    db.sequence += 1
+    enqueue(db, { call, sequence: db.sequence, times })
+  } else {
+    events.push(refuse(db, call.callId, closed))
+  }
+  /* Also after a refusal: the limit may have grown with the time. */
   fillSlots(db, nowMs, events)
   trimQueue(db, nowMs, events)
   if (db.queuedIds.has(call.callId)) events.push({ kind: 'queued', callId: call.callId })
