Add the idempotency family: label leases, key memory, admission checks

Cause: a caller that resends a booking to another node must not make it run twice, and a reported not_run has to be true. Majorities of two lists need not share a voter, nodes skip revisions, and a restarted voter that forgot the highest revision lets an old list lease again. Change: leases need majorities of the newest revision that was leased (the base), of granted revisions in between, and of the own list; votes and requests carry base and pending revisions. A restarted voter does not count for the base until its node got a lease without it. Ranges are kept per list revision and a key runs only at its owner under the revision of its label's range. Only first sends are refused as not_run without a record. Refusals are remembered for the resend window, since a paused entry node can deliver a send after its deadline. Interface types grew by required fields: LeaseRequest.baseRevision, LeaseVote.settled and baseRevision, KeySend.ownerRevisions.

--- /dev/null
+++ b/src/core/idempotency/idempotencyDefinition.spec.ts
@@ -0,0 +1,155 @@
+import { Outcome } from '../coreTypes.js'
+import { idempotencyDefinition as idempotency } from './idempotencyDefinition.js'
+import type { IdempotencyDb } from './idempotencyDb.js'
+import type { IdempotencySettings, KeyDecision, KeySend, LeaseRequest } from './idempotencyTypes.js'
+
+const WALL_MS = 1_700_000_000_000
+const view = (listRevision: number, voterIds: string[]) => ({ dataCentre: 'tartu', listRevision, voterIds })
+
+/** A node that is the only voter of its list, `ageMs` after its start. */
+function aloneAfter (ageMs: number, changes: Partial<IdempotencySettings> = {}): IdempotencyDb {
+  const db = idempotency.createDb({ ...idempotency.defaults, ...changes })
+  idempotency.start(db, 'n1', 0, WALL_MS)
+  idempotency.setVoters(db, view(1, ['n1']), 0, WALL_MS)
+  for (let nowMs = 0; nowMs <= ageMs; nowMs += 2_000) idempotency.leaseRequests(db, nowMs, WALL_MS + nowMs)
+  return db
+}
+
+const uuidAt = (nowMs: number, tail = '0123456789ab') => {
+  const hex = (WALL_MS + nowMs).toString(16).padStart(12, '0')
+  return `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-${tail}`
+}
+
+const send = (idempotencyKey: string, attempt = 1, changes: Partial<KeySend> = {}): KeySend => ({
+  key: { callerName: 'c', serviceName: 's', idempotencyKey },
+  callId: `call-${attempt}`,
+  attempt,
+  isOwner: true,
+  ownerRevisions: [1],
+  ...changes
+})
+
+const told = (decision: KeyDecision): string =>
+  decision.kind === 'refuse' ? `${decision.outcome} ${decision.reason}` : decision.kind
+const admitAt = (db: IdempotencyDb, keySend: KeySend, nowMs: number) =>
+  told(idempotency.admit(db, keySend, nowMs, WALL_MS + nowMs))
+const dispatchAt = (db: IdempotencyDb, keySend: KeySend, nowMs: number) =>
+  told(idempotency.beforeDispatch(db, keySend, nowMs, WALL_MS + nowMs))
+
+describe('key memory', () => {
+  test('a resend gets the remembered answer and never runs again', () => {
+    const db = aloneAfter(20_000)
+    const key = uuidAt(20_000)
+    const answer = { status: 201, headers: { a: 'b' }, body: new Uint8Array(3) }
+    expect([admitAt(db, send(key), 20_000), dispatchAt(db, send(key), 20_010)]).toEqual(['run', 'run'])
+    expect(admitAt(db, send(key, 2), 20_020)).toBe('unknown still_running')
+    idempotency.finish(db, send(key), Outcome.Done, answer, 20_030)
+    expect(idempotency.admit(db, send(key, 2), 20_040, WALL_MS + 20_040)).toEqual({ kind: 'answer', answer })
+    idempotency.tick(db, 145_000)
+    expect([db.records.size, db.answerBytes]).toEqual([0, 0])
+    expect(admitAt(db, send(key, 4), 145_000)).toBe('unknown idempotency_key_expired')
+  })
+
+  test('a delayed earlier send cannot run after a later one was refused; a higher attempt can', () => {
+    const db = aloneAfter(20_000)
+    const key = uuidAt(20_000)
+    admitAt(db, send(key, 2), 20_000)
+    idempotency.refused(db, send(key, 2), 20_010)
+    expect(dispatchAt(db, send(key, 2), 20_020)).toBe('unknown idempotency_key_unknown_history')
+    expect(admitAt(db, send(key, 1), 20_030)).toBe('not_run already_refused')
+    expect(admitAt(db, send(key, 3), 20_040)).toBe('run')
+    expect(dispatchAt(db, send(key, 3), 20_050)).toBe('run')
+  })
+
+  test('a full memory refuses new keys instead of dropping old ones', () => {
+    const db = aloneAfter(20_000, { keysCapacityCount: 1 })
+    expect(admitAt(db, send(uuidAt(20_000)), 20_000)).toBe('run')
+    expect(admitAt(db, send(uuidAt(20_001)), 20_001)).toBe('not_run overload')
+    expect(admitAt(db, send(uuidAt(20_001), 2), 20_002)).toBe('unknown idempotency_key_unknown_history')
+    expect(idempotency.violations(db, 20_002)).toEqual([])
+  })
+
+  test.each([
+    ['a label of before the start', uuidAt(1_000), {}, 'not_run lease_not_held'],
+    ['a label too far ahead', uuidAt(23_000), {}, 'not_run idempotency_key_from_future'],
+    ['a label too far ahead of a resend', uuidAt(23_000), { attempt: 2 }, 'unknown idempotency_key_unknown_history'],
+    ['a key of another owner', uuidAt(20_000), { ownerRevisions: [], isOwner: false }, 'not_run not_owner'],
+    ['an owner under a list without a lease', uuidAt(20_000), { ownerRevisions: [2] }, 'not_run not_owner'],
+    ['a key without a creation time', 'order-1', {}, 'not_run lease_not_held']
+  ])('%s is refused truthfully', (_name, key, changes, expected) => {
+    expect(admitAt(aloneAfter(20_000), send(key, 1, changes), 20_000)).toBe(expected)
+  })
+
+  test('a key without a creation time runs once the lease covers the resend window', () => {
+    const db = aloneAfter(160_000)
+    expect([admitAt(db, send('order-1'), 160_000), dispatchAt(db, send('order-1'), 160_010)]).toEqual(['run', 'run'])
+  })
+
+  test('an accepted key without a creation time does not run when the lease ended meanwhile', () => {
+    const db = aloneAfter(160_000)
+    expect(admitAt(db, send('order-1'), 160_000)).toBe('run')
+    expect(dispatchAt(db, send('order-1'), 171_000)).toBe('not_run lease_not_held')
+    expect(admitAt(db, send('order-1'), 171_000)).toBe('not_run already_refused')
+  })
+})
+
+describe('voter', () => {
+  const request = (changes: Partial<LeaseRequest>): LeaseRequest => ({
+    kind: 'lease_request',
+    requestId: 1,
+    dataCentre: 'tartu',
+    nodeId: 'n2',
+    listRevision: 1,
+    untilLabelMs: WALL_MS + 30_000,
+    baseRevision: -1,
+    voterIds: ['n1', 'n2', 'n3'],
+    ...changes
+  })
+  const ask = (db: IdempotencyDb, changes: Partial<LeaseRequest>) =>
+    idempotency.onLeaseRequest(db, request(changes), 20_000, WALL_MS + 20_000)
+
+  test('a newer revision starts after every label granted under older ones, which get no more', () => {
+    const db = aloneAfter(20_000)
+    ask(db, { listRevision: 1, untilLabelMs: WALL_MS + 31_000 })
+    expect(ask(db, { listRevision: 3 })).toMatchObject({ kind: 'lease_granted', fromLabelMs: WALL_MS + 31_000 })
+    expect(ask(db, { listRevision: 2 })).toMatchObject({ kind: 'lease_refused', highestRevision: 3 })
+  })
+
+  test('an unconfirmed revision is reported to later ones, which have to ask its voters as well', () => {
+    const db = aloneAfter(20_000)
+    ask(db, { listRevision: 2, voterIds: ['n1', 'n8', 'n9'] })
+    expect(ask(db, { listRevision: 3 })).toMatchObject({
+      base: { listRevision: 1 }, pending: [{ listRevision: 2, voterIds: ['n1', 'n8', 'n9'] }]
+    })
+  })
+
+  test('a grant ends at the lease length plus the skew, since the floor after a restart relies on it', () => {
+    expect(ask(aloneAfter(20_000), { untilLabelMs: WALL_MS + 9e9 })).toMatchObject({ untilLabelMs: WALL_MS + 32_000 })
+  })
+
+  test('a request of another data centre or without numbers is refused', () => {
+    const db = aloneAfter(20_000)
+    expect(ask(db, { dataCentre: 'parnu' }).kind).toBe('lease_refused')
+    expect(ask(db, { listRevision: NaN }).kind).toBe('lease_refused')
+    expect(ask(db, { untilLabelMs: Infinity }).kind).toBe('lease_refused')
+  })
+
+  test('a voter without memory grants no label that it may have granted before', () => {
+    const db = idempotency.createDb(idempotency.defaults)
+    idempotency.start(db, 'n1', 0, WALL_MS)
+    idempotency.setVoters(db, view(1, ['n1', 'n2', 'n3']), 0, WALL_MS)
+    expect(ask(db, {})).toMatchObject({ settled: false, fromLabelMs: WALL_MS + 12_000 })
+  })
+
+  test('a vote for an earlier request gives no lease', () => {
+    const db = idempotency.createDb(idempotency.defaults)
+    idempotency.start(db, 'n1', 0, WALL_MS)
+    idempotency.setVoters(db, view(1, ['n2']), 0, WALL_MS)
+    const voter = aloneAfter(20_000)
+    const [first] = idempotency.leaseRequests(db, 0, WALL_MS)
+    idempotency.leaseRequests(db, 2_000, WALL_MS + 2_000)
+    const vote = idempotency.onLeaseRequest(voter, first!.request, 2_000, WALL_MS + 2_000)
+    idempotency.onLeaseVote(db, { ...vote, voterId: 'n2' }, 2_001, WALL_MS + 2_001)
+    expect(idempotency.lease(db)).toBeNull()
+  })
+})
--- a/src/core/idempotency/idempotencyTypes.ts
+++ b/src/core/idempotency/idempotencyTypes.ts
@@ -18,6 +18,18 @@
   readonly untilLabelMs: Millis
 }
 
+/** The voters that stand behind one revision of a data centre's list. */
+export interface VoterConfig {
+  readonly listRevision: number
+  readonly voterIds: readonly string[]
+}
+
+/** A revision for which a lease was held; no lower revision can get another lease. */
+export interface LeaseBase extends VoterConfig {
+  /** Every label that a lower revision may run lies below this one. */
+  readonly fromLabelMs: Millis
+}
+
 /** A node's question to a voter of its data centre. */
 export interface LeaseRequest {
   readonly kind: 'lease_request'
@@ -26,6 +38,12 @@
   readonly nodeId: string
   readonly listRevision: number
   readonly untilLabelMs: Millis
+  /** Revision of the newest base that the node knows, or -1. */
+  readonly baseRevision: number
+  /** That base, when the voter may not know it. */
+  readonly base?: LeaseBase
+  /** Voters of `listRevision`, left out when that revision is the base. */
+  readonly voterIds?: readonly string[]
 }
 
 /** A voter's answer. */
@@ -37,6 +55,13 @@
     readonly listRevision: number
     readonly fromLabelMs: Millis
     readonly untilLabelMs: Millis
+    /** False while the voter may have forgotten grants that it made before a restart. */
+    readonly settled: boolean
+    readonly baseRevision: number
+    /** The voter's base, when it is newer than the node's. */
+    readonly base?: LeaseBase
+    /** Older revisions above the base that the voter granted; their voters have to be asked, too. */
+    readonly pending?: readonly VoterConfig[]
   }
   | {
     readonly kind: 'lease_refused'
@@ -64,6 +89,8 @@
   /** Number of the caller's own send, from 1. */
   readonly attempt: number
   readonly isOwner: boolean
+  /** List revisions under which this node is the owner of the key, of the last few it has seen. */
+  readonly ownerRevisions: readonly number[]
 }
 
 export interface IdempotencySettings {
