--- a/src/core/routing/routingTypes.ts
+++ b/src/core/routing/routingTypes.ts
@@ -80,6 +80,8 @@
   sent (db: Db, nodeId: string, nowMs: Millis): void
   finished (db: Db, nodeId: string, result: PeerResult, latencyMs: Millis, nowMs: Millis): void
   markDraining (db: Db, nodeId: string, nowMs: Millis): void
+  /** Withdraws a drain mark, for example when the backend server is ready again. */
+  clearDraining (db: Db, nodeId: string): void
   targetOf (db: Db, nodeId: string): NodeTarget | undefined
   /** Notes what a connection to a place (`ip:port`) showed. */
   connectionSeen (db: Db, place: string, event: ConnectionEvent, nowMs: Millis): void
