Keep the newest wanted mark while a pull is under way

Cause: a notice of an older version under a later revision displaced the newer version that was waiting to be pulled, which then came with a later digest. Ruled out: comparing revisions alone; the order is by version, then revision. Change: spreadPulls uses the family's own order and bounds the keys it waits for, so that wrong peers cannot grow its table. Conclusion: pulls follow the same order as what is in force.

--- a/src/node/spreadPulls.ts
+++ b/src/node/spreadPulls.ts
@@ -1,4 +1,6 @@
 import type { Either } from 'purify-ts'
+import { KEYS_MAX_COUNT } from '../core/documents/documentsDb.js'
+import { isNewer } from '../core/documents/documentsDetector.js'
 import type { OfferResult, PublishedMark, PublishedValue } from '../core/documents/documentsTypes.js'
 import { assertNever, type StepError } from '../errors/errors.js'
 import type { ValueAnswer } from './valueClient.js'
@@ -20,6 +22,10 @@
   readonly sources: string[]
 }
 
+function hasRoomFor (wanted: Wanted, callAddress: string): boolean {
+  return wanted.sources.length < SOURCES_MAX_COUNT && !wanted.sources.includes(callAddress)
+}
+
 /** Pulls values that peers announced, one at a time for each key. */
 export class SpreadPulls {
   readonly #options: SpreadPullsOptions
@@ -40,10 +46,9 @@
   want (marks: readonly PublishedMark[], callAddress: string): void {
     for (const mark of this.#options.missing(marks)) {
       const wanted = this.#wanted.get(mark.key)
-      if (wanted === undefined) this.#wanted.set(mark.key, { mark, sources: [callAddress] })
-      else if (mark.version > wanted.mark.version || mark.revision > wanted.mark.revision) {
+      if (wanted === undefined ? this.#wanted.size < KEYS_MAX_COUNT : isNewer(mark, wanted.mark)) {
         this.#wanted.set(mark.key, { mark, sources: [callAddress] })
-      } else if (wanted.sources.length < SOURCES_MAX_COUNT && !wanted.sources.includes(callAddress)) {
+      } else if (wanted !== undefined && hasRoomFor(wanted, callAddress)) {
         wanted.sources.push(callAddress)
       }
     }
