--- a/src/core/admission/admissionDb.ts
+++ b/src/core/admission/admissionDb.ts
@@ -25,11 +25,10 @@
   startsCount: number
   overloadRefusalsCount: number
   shedsCount: number
-  servedMs: Millis
-  baselineMs: Millis
-  samplesCount: number
-  /** Calls offered in this window for each level. */
-  readonly offeredByLevel: Uint32Array
+  /** Calls offered for each level; older windows count less. */
+  readonly offeredByLevel: Float64Array
+  /** Windows in a row without a refusal for overload. */
+  calmCount: number
   cutLevel: number
   saturated: boolean
 }
@@ -61,6 +60,8 @@
   limit: number
   /** The limit does not grow before this time. */
   holdUntilMs: Millis
+  /** Part of the slots by which the limit grows in the next window. */
+  growthRatio: number
   /** Slots, or the calls in flight left over from before the slots shrank. */
   inFlightCeilingCount: number
   sequence: number
@@ -88,10 +89,8 @@
     startsCount: 0,
     overloadRefusalsCount: 0,
     shedsCount: 0,
-    servedMs: 0,
-    baselineMs: 0,
-    samplesCount: 0,
-    offeredByLevel: new Uint32Array(LEVEL_WORST + 1),
+    offeredByLevel: new Float64Array(LEVEL_WORST + 1),
+    calmCount: Number.MAX_SAFE_INTEGER,
     cutLevel: LEVEL_WORST,
     saturated: false
   }
@@ -121,6 +120,7 @@
     capacity: { slotsCount: 0, acceptsWork: false, draining: false },
     limit: 0,
     holdUntilMs: 0,
+    growthRatio: 0,
     inFlightCeilingCount: 0,
     sequence: 0,
     queueCapacityCount: 0,
@@ -145,8 +145,8 @@
   Object.assign(db.totals, fresh.totals)
   db.window.offeredByLevel.fill(0)
   Object.assign(db.window, { ...fresh.window, offeredByLevel: db.window.offeredByLevel })
-  const { capacity, limit, holdUntilMs, inFlightCeilingCount, queueCapacityCount } = fresh
-  Object.assign(db, { capacity, limit, holdUntilMs, inFlightCeilingCount, queueCapacityCount })
+  const { capacity, limit, holdUntilMs, growthRatio, inFlightCeilingCount, queueCapacityCount } = fresh
+  Object.assign(db, { capacity, limit, holdUntilMs, growthRatio, inFlightCeilingCount, queueCapacityCount })
   db.sequence = db.nowMs = db.lateCheckedAtMs = 0
 }
 
--- a/src/core/admission/chainCuts.ts
+++ b/src/core/admission/chainCuts.ts
@@ -2,8 +2,10 @@
 import { LEVEL_WORST, type RandomSource } from '../coreTypes.js'
 import type { AdmissionDb, ChainCut } from './admissionDb.js'
 
-/** Weight of one answer: backend servers of one service report slightly different cuts. */
+/** Weight of one stricter answer: backend servers of one service report slightly different cuts. */
 const LEARN_RATIO = 1 / 8
+/** Weight of one laxer answer. Servers that are not saturated report the worst level, far above any cut. */
+const RELAX_RATIO = 1 / 32
 /** Part of the refused root requests that is let through to see whether capacity has returned. */
 const PROBE_RATIO = 0.01
 
@@ -32,7 +34,7 @@
     return
   }
   const level = cutNow(db, cut, nowMs)
-  cut.level = level + (cutLevel - level) * LEARN_RATIO
+  cut.level = level + (cutLevel - level) * (cutLevel < level ? LEARN_RATIO : RELAX_RATIO)
   cut.learnedAtMs = nowMs
 }
 
--- a/src/core/admission/gate.ts
+++ b/src/core/admission/gate.ts
@@ -118,9 +118,6 @@
     case ReleaseKind.Done:
       learnServed(times, servedMs, db.nowMs)
       learnServed(db.allRoutes, servedMs, db.nowMs)
-      db.window.servedMs += servedMs
-      db.window.baselineMs += times.baselineMs
-      db.window.samplesCount += 1
       return
     case ReleaseKind.Shed:
       noteShed(db)
--- a/src/core/admission/gateWindow.ts
+++ b/src/core/admission/gateWindow.ts
@@ -7,15 +7,14 @@
 const QUEUE_MIN_COUNT = 4
 /** Keeps slightly more than the capacity coming, so that the gate itself makes the final choice. */
 const CUT_SLACK_RATIO = 1.1
+/** Part of the counts by level that is kept from window to window. */
+const HISTORY_RATIO = 0.7
+/** Windows without a refusal after which the gate is no longer saturated. */
+const CALM_WINDOWS = 2
 const SHED_LIMIT_RATIO = 0.9
-/** With the growth below, a limit cut to its minimum is whole again within 0.9 s. */
+/** After a refusal the limit rests this long, then grows by a doubling step, and is whole again within 1 s. */
 const SHED_HOLD_MS = 400
-const GROWTH_RATIO_PER_WINDOW = 0.2
-const SLOW_RATIO = 3
-const SLOW_LIMIT_RATIO = 0.9
-/** A slow service further down also raises the latency here, and fewer calls in flight do not cure that. */
-const SLOW_MIN_RATIO = 0.5
-const SLOW_MIN_SAMPLES = 8
+const GROWTH_FIRST_RATIO = 0.02
 
 /** Limit of calls in flight that applies now. */
 export function limitCount (db: AdmissionDb): number {
@@ -47,9 +46,7 @@
   closeCut(db, windowsCount)
   sizeQueue(db)
   window.startedAtMs += windowsCount * settings.windowMs
-  window.startsCount = window.overloadRefusalsCount = window.shedsCount = 0
-  window.servedMs = window.baselineMs = window.samplesCount = 0
-  window.offeredByLevel.fill(0)
+  window.overloadRefusalsCount = window.shedsCount = 0
 }
 
 /** Lowers the limit after a refusal by the backend server, at most once in a window. */
@@ -59,41 +56,52 @@
   const servable = Math.min(db.limit, db.inFlight.size)
   db.limit = Math.max(minLimit(db), servable * SHED_LIMIT_RATIO)
   db.holdUntilMs = db.nowMs + SHED_HOLD_MS
+  db.growthRatio = GROWTH_FIRST_RATIO
 }
 
 function minLimit (db: AdmissionDb): number {
   return Math.min(db.capacity.slotsCount, Math.max(1, db.settings.minLimitCount))
 }
 
+/**
+ * Latency does not lower the limit: a slow service further down raises it too,
+ * and fewer calls in flight then only cost goodput (docs/POLICY.md).
+ */
 function adaptLimit (db: AdmissionDb, windowsCount: number): void {
-  const { window, capacity: { slotsCount } } = db
-  const slow = window.samplesCount >= SLOW_MIN_SAMPLES && window.servedMs > SLOW_RATIO * window.baselineMs
-  if (slow) {
-    const floor = Math.max(minLimit(db), slotsCount * SLOW_MIN_RATIO)
-    if (db.limit > floor) db.limit = Math.max(floor, db.limit * SLOW_LIMIT_RATIO)
-  } else if (db.nowMs >= db.holdUntilMs) {
-    db.limit = Math.min(slotsCount, db.limit + slotsCount * GROWTH_RATIO_PER_WINDOW * windowsCount)
+  const { slotsCount } = db.capacity
+  for (let count = 0; count < windowsCount && db.nowMs >= db.holdUntilMs && db.limit < slotsCount; count++) {
+    db.limit = Math.min(slotsCount, db.limit + slotsCount * db.growthRatio)
+    db.growthRatio *= 2
   }
 }
 
 /**
- * The cut is the level up to which the offered calls fill what was started.
- * The single worst level started would be set by chance arrivals in a short
- * gap of the queue and let most of an overload through.
+ * The cut is the level up to which the offered calls fill what was started. The
+ * counts reach back over about three windows: with a few slots one window has
+ * too few calls. The single worst level started would be set by chance arrivals
+ * in a short gap of the queue and let most of an overload through.
  */
 function closeCut (db: AdmissionDb, windowsCount: number): void {
   const { window } = db
-  window.saturated = windowsCount === 1 && window.overloadRefusalsCount > 0
-  window.cutLevel = LEVEL_WORST
-  if (!window.saturated) return
+  const refused = windowsCount === 1 && window.overloadRefusalsCount > 0
+  window.calmCount = refused ? 0 : window.calmCount + windowsCount
+  window.saturated = window.calmCount < CALM_WINDOWS
+  window.cutLevel = window.saturated ? cutOf(db) : LEVEL_WORST
+  const keptRatio = window.saturated ? HISTORY_RATIO : 0
+  window.startsCount *= keptRatio
+  for (let level = 0; level <= LEVEL_WORST; level++) {
+    window.offeredByLevel[level] = (window.offeredByLevel[level] ?? 0) * keptRatio
+  }
+}
+
+function cutOf ({ window }: AdmissionDb): number {
   let room = window.startsCount * CUT_SLACK_RATIO
-  let cut = -1
+  let cut = LEVEL_WORST
   for (let level = 0; level <= LEVEL_WORST; level++) {
     const offered = window.offeredByLevel[level] ?? 0
     room -= offered
-    if (room < 0 && cut >= 0) break
+    if (room < 0) return cut === LEVEL_WORST ? level : cut
     if (offered > 0) cut = level
-    if (room < 0) break
   }
-  if (room < 0) window.cutLevel = Math.max(0, cut)
+  return LEVEL_WORST
 }
