Add the demo deployments and the demo

Cause: an operator has to see both deployments run with real processes, and whether calls end whole or honestly refused when they are overloaded. Ruled out: sizes of one tenth of the documents. Counting goodput by the end of calls in windows of 100 ms: it varies by more than 5% with the arrivals alone, so recovery looks at the calls that arrive in a window. Windows of the load generator are kept for each stream.

--- /dev/null
+++ b/demos/deployment.ts
@@ -0,0 +1,196 @@
+import { writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { v7 as uuidV7 } from 'uuid'
+import type { LoadStream } from '../src/standins/loadPlan.js'
+import { Sender, SendResult } from '../src/standins/sendCall.js'
+import { backendConfigOf, loadStreamsOf, readDocuments, scaleDocument, type DemoDocument } from './demoDocuments.js'
+import { SIZE_FACTOR, type DeploymentSpec } from './deploymentSpecs.js'
+import { findFreePorts } from './ports.js'
+import { ProcessGroup, type LoggedProcess } from './processGroup.js'
+
+const HOST = '127.0.0.1'
+const POLL_MS = 200
+const READY_LIMIT_MS = 45_000
+/** Calls of each keyed stream that must all succeed before the load starts, so that each owner node is met. */
+const WARM_UP_CALLS_COUNT = 6
+
+export interface DeployedVm {
+  readonly vmId: string
+  readonly service: string
+  readonly dataCentre: string
+  readonly callAddress: string
+  readonly controlAddress: string
+  readonly operatorAddress: string
+  readonly backendAddress: string
+  readonly backendControlAddress: string
+}
+
+/** A deployment whose processes run on this machine. */
+export interface Deployment {
+  readonly spec: DeploymentSpec
+  readonly documents: ReadonlyMap<string, DemoDocument>
+  readonly streams: readonly LoadStream[]
+  readonly vms: readonly DeployedVm[]
+  readonly group: ProcessGroup
+  readonly configControlAddress: string
+  readonly nodeProcesses: readonly LoggedProcess[]
+  readonly backendProcesses: readonly LoggedProcess[]
+}
+
+export interface DeploymentOptions {
+  /** Whether the nodes control overload or pass all calls on. */
+  readonly control: boolean
+}
+
+async function placeVms (spec: DeploymentSpec): Promise<DeployedVm[]> {
+  const places = spec.services.flatMap(({ service, dataCentres }) =>
+    dataCentres.map((dataCentre, index) => ({ vmId: `${service}-${index + 1}`, service, dataCentre })))
+  const ports = await findFreePorts(places.length * 5)
+  return places.map((place, index) => {
+    const address = (offset: number): string => `${HOST}:${ports[index * 5 + offset]}`
+    return {
+      ...place,
+      callAddress: address(0),
+      controlAddress: address(1),
+      operatorAddress: address(2),
+      backendAddress: address(3),
+      backendControlAddress: address(4)
+    }
+  })
+}
+
+function publishedValues (
+  spec: DeploymentSpec, documents: ReadonlyMap<string, DemoDocument>, vms: readonly DeployedVm[]
+): Record<string, string> {
+  const dataCentres = [...new Set(vms.map(vm => vm.dataCentre))]
+  const values: Record<string, string> = {
+    catalogue: JSON.stringify({ services: [...documents.keys()], data_centres: dataCentres })
+  }
+  for (const [service, document] of documents) values[`documents/${service}`] = JSON.stringify(document)
+  for (const dataCentre of dataCentres) {
+    const listed = vms.filter(vm => vm.dataCentre === dataCentre).map(vm => ({
+      vm_id: vm.vmId,
+      service: vm.service,
+      data_centre: vm.dataCentre,
+      call_address: vm.callAddress,
+      control_address: vm.controlAddress,
+      state: 'live'
+    }))
+    values[`vms/${dataCentre}`] = JSON.stringify({ vms: listed })
+  }
+  return values
+}
+
+function nodeFlags (vm: DeployedVm, platformAddress: string, peers: readonly string[], control: boolean): string[] {
+  return [
+    '--node-id', vm.vmId, '--service', vm.service, '--data-centre', vm.dataCentre,
+    '--call-address', vm.callAddress, '--control-address', vm.controlAddress,
+    '--operator-address', vm.operatorAddress, '--backend-address', vm.backendAddress,
+    '--platform-address', platformAddress, '--peers', peers.filter(peer => peer !== vm.callAddress).join(','),
+    '--control', control ? 'on' : 'off'
+  ]
+}
+
+/**
+ * Starts all processes of a deployment without waiting until they serve.
+ *
+ * @example
+ * const deployment = await startDeployment(DEPLOYMENT_SPECS.lyhter, { control: true })
+ * await untilReady(deployment)
+ * await deployment.group.stop()
+ */
+export async function startDeployment (spec: DeploymentSpec, options: DeploymentOptions): Promise<Deployment> {
+  const read = [...readDocuments(spec)]
+  const documents = new Map(read.map(([service, document]) => [service, scaleDocument(document, SIZE_FACTOR)]))
+  const vms = await placeVms(spec)
+  const group = new ProcessGroup()
+  const valuesFile = join(group.directory, 'values.json')
+  writeFileSync(valuesFile, JSON.stringify(publishedValues(spec, documents, vms)))
+  const [platformPort, configControlPort] = await findFreePorts(2)
+  const platformAddress = `${HOST}:${platformPort}`
+  const configControlAddress = `${HOST}:${configControlPort}`
+  group.start('config-service', '../src/standins/configServiceMain.js', [
+    '--address', platformAddress, '--control-address', configControlAddress, '--values-file', valuesFile
+  ])
+  const peers = vms.filter((vm, index) => vms.findIndex(one => one.dataCentre === vm.dataCentre) === index)
+    .map(vm => vm.callAddress)
+  const backendProcesses = vms.map((vm, index) => startBackend(group, spec, documents, vm, index + 1))
+  const nodeProcesses = vms.map(vm => group.start(
+    `node-${vm.vmId}`, '../src/cli/nodeMain.js', nodeFlags(vm, platformAddress, peers, options.control)
+  ))
+  const streams = loadStreamsOf(spec, documents)
+  return { spec, documents, streams, vms, group, configControlAddress, nodeProcesses, backendProcesses }
+}
+
+function startBackend (
+  group: ProcessGroup, spec: DeploymentSpec, documents: ReadonlyMap<string, DemoDocument>, vm: DeployedVm, seed: number
+): LoggedProcess {
+  const service = spec.services.find(one => one.service === vm.service)
+  if (service === undefined) throw new Error(`no service ${vm.service}`)
+  return group.start(`backend-${vm.vmId}`, '../src/standins/backendServerMain.js', [
+    '--address', vm.backendAddress, '--control-address', vm.backendControlAddress, '--node-address', vm.callAddress,
+    '--config', JSON.stringify(backendConfigOf(service, documents, seed))
+  ])
+}
+
+async function isReady (vm: DeployedVm): Promise<boolean> {
+  try {
+    const answer = await fetch(`http://${vm.operatorAddress}/ready`)
+    await answer.arrayBuffer()
+    return answer.ok
+  } catch {
+    return false
+  }
+}
+
+async function repeatUntil (what: string, check: () => Promise<boolean>): Promise<void> {
+  const limitAtMs = performance.now() + READY_LIMIT_MS
+  while (!await check()) {
+    if (performance.now() > limitAtMs) throw new Error(`${what} not ready within ${READY_LIMIT_MS} ms`)
+    await new Promise(resolve => setTimeout(resolve, POLL_MS))
+  }
+}
+
+async function sendOnce (sender: Sender, stream: LoadStream, targetIndex: number): Promise<SendResult> {
+  const key = stream.keyed ? uuidV7() : undefined
+  const rootId = `warm-up-${uuidV7()}`
+  const spec = { stream, rootId, key, attempt: 1, timeoutMs: stream.deadline_ms }
+  return await new Promise(resolve => { sender.send(targetIndex, spec, end => { resolve(end.result) }) })
+}
+
+async function warmUp (sender: Sender, stream: LoadStream, targetsCount: number): Promise<boolean> {
+  if (await sendOnce(sender, stream, 0) !== SendResult.Whole) return false
+  const targets = Array.from({ length: WARM_UP_CALLS_COUNT }, (_, index) => index % targetsCount)
+  const results = await Promise.all(targets.map(async target => await sendOnce(sender, stream, target)))
+  return results.every(result => result === SendResult.Whole)
+}
+
+/** Waits until all nodes report ready. */
+export async function untilServing ({ spec, vms }: Deployment): Promise<void> {
+  await repeatUntil(`${spec.name}: nodes`, async () => (await Promise.all(vms.map(isReady))).every(Boolean))
+}
+
+/**
+ * Waits until all nodes report ready and calls of each stream succeed. Right
+ * after the start the owner nodes hold no leases yet and refuse keyed calls.
+ */
+export async function untilReady (deployment: Deployment): Promise<void> {
+  const { vms, streams, spec } = deployment
+  await untilServing(deployment)
+  const sender = new Sender(vms.map(vm => vm.callAddress), 4)
+  try {
+    await Promise.all(streams.map(async stream => {
+      await repeatUntil(`${spec.name}: ${stream.name}`, async () => await warmUp(sender, stream, vms.length))
+    }))
+  } finally {
+    await sender.close()
+  }
+}
+
+/** Posts a test control to a stand-in. Throws when the stand-in refuses it. */
+export async function postControl (address: string, value: unknown): Promise<unknown> {
+  const answer = await fetch(`http://${address}/`, { method: 'POST', body: JSON.stringify(value) })
+  const result: unknown = await answer.json()
+  if (!answer.ok) throw new Error(`control at ${address}: ${JSON.stringify(result)}`)
+  return result
+}
--- a/src/standins/callerReport.ts
+++ b/src/standins/callerReport.ts
@@ -20,6 +20,7 @@
 
 /** Counts of root requests by the window in which they arrived; `completed_count` goes by the end. */
 export interface WindowCounts {
+  stream: string
   at_ms: number
   offered_count: number
   whole_count: number
@@ -118,7 +119,7 @@
   readonly #plan: LoadPlan
   readonly #tallies = new Map<string, StreamTally>()
   readonly #byCaller = new Map<string, Histogram>()
-  readonly #windows = new Map<number, WindowCounts>()
+  readonly #windows = new Map<string, WindowCounts>()
   readonly #notRunKeys: string[] = []
   readonly #wrongRoots: string[] = []
   #second = emptyCounts()
@@ -131,7 +132,7 @@
   offered (root: Root): void {
     this.#tallyOf(root).counts.offered_count += 1
     this.#second.offered_count += 1
-    this.#windowAt(root.arrivedWallMs).offered_count += 1
+    this.#windowAt(root, root.arrivedWallMs).offered_count += 1
   }
 
   sent (root: Root): void {
@@ -181,8 +182,8 @@
     const histogram = this.#byCaller.get(name) ?? newHistogram()
     histogram.recordValue(latencyUs)
     this.#byCaller.set(name, histogram)
-    this.#windowAt(root.arrivedWallMs).whole_count += 1
-    this.#windowAt(wallMs).completed_count += 1
+    this.#windowAt(root, root.arrivedWallMs).whole_count += 1
+    this.#windowAt(root, wallMs).completed_count += 1
   }
 
   #streamReport (name: string, tally: StreamTally): StreamReport {
@@ -210,12 +211,13 @@
     return tally
   }
 
-  #windowAt (wallMs: number): WindowCounts {
+  #windowAt (root: Root, wallMs: number): WindowCounts {
     const atMs = Math.floor(wallMs / WINDOW_MS) * WINDOW_MS
-    let window = this.#windows.get(atMs)
+    const name = `${atMs} ${root.stream.name}`
+    let window = this.#windows.get(name)
     if (window === undefined) {
-      window = { at_ms: atMs, offered_count: 0, whole_count: 0, completed_count: 0 }
-      this.#windows.set(atMs, window)
+      window = { stream: root.stream.name, at_ms: atMs, offered_count: 0, whole_count: 0, completed_count: 0 }
+      this.#windows.set(name, window)
     }
     return window
   }
