Say why a deployment is not ready and why calls were refused

Cause: when nodes could not start, the demo waited 45 s and printed one stack trace for each; when a warm-up call was refused, it did not say for what reason. Ruled out: a shorter wait, since owner nodes get their first leases only after 12 s. Accepting refused warm-up calls, which would hide a node that serves none. Change: a deployment fails as soon as a process has ended early, and names the nodes or reasons it waited for. The demo prints the reasons of refusals.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -8,8 +8,12 @@
 import { countHarm, measureOverload, measureSlowDeepService } from './overload.js'
 import type { BenchTimes, HarmCounts, OverloadResult } from './overload.js'
 
-const FULL_TIMES: BenchTimes = { rampMs: 4000, rampFactors: [1, 1.15, 1.3], calmMs: 4000, overloadMs: 5000, afterMs: 5000 }
-const QUICK_TIMES: BenchTimes = { rampMs: 2500, rampFactors: [1.1], calmMs: 1200, overloadMs: 2200, afterMs: 1600 }
+const FULL_TIMES: BenchTimes = {
+  rampMs: 4000, rampFactors: [1, 1.15, 1.3], calmMs: 4000, overloadMs: 5000, afterMs: 5000
+}
+const QUICK_TIMES: BenchTimes = {
+  rampMs: 2500, rampFactors: [1.25], calmMs: 1200, overloadMs: 2200, afterMs: 1600
+}
 /** Recovery counts as not seen after 30 s. */
 const BASELINE_AFTER_MS = 31_000
 const FULL_LATENCY_MS = 15_000
@@ -21,6 +25,9 @@
   readonly goodput_ratio_at_10x: number
   readonly baseline_goodput_ratio_at_2x: number | null
   readonly baseline_goodput_ratio_at_10x: number | null
+  /** Vital root requests completed, as a part of the promised ones. */
+  readonly vital_ratio_at_10x: number
+  readonly baseline_vital_ratio_at_10x: number | null
   readonly recovery_ms: number | null
   readonly baseline_recovery_ms: number | null
   readonly recovery_after_slow_service_ms: number | null
@@ -72,6 +79,8 @@
     goodput_ratio_at_10x: overload.goodputRatioAt10x,
     baseline_goodput_ratio_at_2x: null,
     baseline_goodput_ratio_at_10x: null,
+    vital_ratio_at_10x: overload.vitalRatioAt10x,
+    baseline_vital_ratio_at_10x: null,
     recovery_ms: longest(recoveries),
     baseline_recovery_ms: null,
     recovery_after_slow_service_ms: slowRecoveryMs,
@@ -88,6 +97,7 @@
     ...figures,
     baseline_goodput_ratio_at_2x: overload.goodputRatioAt2x,
     baseline_goodput_ratio_at_10x: overload.goodputRatioAt10x,
+    baseline_vital_ratio_at_10x: overload.vitalRatioAt10x,
     baseline_recovery_ms: longest([overload.recoveryAfter2xMs, overload.recoveryAfter10xMs])
   }
 }
--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -29,6 +29,7 @@
   readonly capacityPerS: number
   readonly goodputRatioAt2x: number
   readonly goodputRatioAt10x: number
+  readonly vitalRatioAt10x: number
   readonly recoveryAfter2xMs: number | null
   readonly recoveryAfter10xMs: number | null
   readonly callerCpuPercent: number
@@ -71,6 +72,7 @@
     capacityPerS,
     goodputRatioAt2x: settledGoodputPerS(result, at('at_2x')) / capacityPerS,
     goodputRatioAt10x: settledGoodputPerS(result, at('at_10x')) / capacityPerS,
+    vitalRatioAt10x: vitalRatio(deployment, result, 'at_10x'),
     recoveryAfter2xMs: recoveredIn(result, at('after_2x')),
     recoveryAfter10xMs: recoveredIn(result, at('after_10x')),
     callerCpuPercent: Math.max(...result.reports.map(report => report.cpu_percent)),
@@ -78,6 +80,15 @@
   }
 }
 
+/** Vital root requests of a phase that ended whole, as a part of those promised for its length. */
+function vitalRatio (deployment: Deployment, result: LoadResult, phaseName: string): number {
+  const { whole_count: wholeCount } = sumCounts(result, one => one.phase === phaseName && one.importance === 'vital')
+  const durationMs = result.phases.find(one => one.name === phaseName)?.duration_ms ?? 0
+  const promisedPerS = deployment.streams.filter(stream => stream.importance === 'vital')
+    .reduce((sum, stream) => sum + stream.rate_per_s, 0)
+  return wholeCount / (promisedPerS * durationMs / 1000)
+}
+
 /** Recovery within a calm phase after an overload, compared with the calm phase at the start. */
 function recoveredIn (result: LoadResult, phaseIndex: number): number | null {
   const endMs = phaseStartMs(result, phaseIndex + 1)
--- a/demos/demo.ts
+++ b/demos/demo.ts
@@ -52,6 +52,15 @@
   }
 }
 
+/** How often each reason ended a root request, most often first. */
+function reasonsOf (result: LoadResult): string {
+  const sums = new Map<string, number>()
+  for (const { reasons } of result.reports.flatMap(report => report.streams)) {
+    for (const [reason, count] of Object.entries(reasons)) sums.set(reason, (sums.get(reason) ?? 0) + count)
+  }
+  return [...sums].sort((a, b) => b[1] - a[1]).map(([reason, count]) => `${reason} ${count}`).join(', ')
+}
+
 /** Faults of a run; none when each call got a whole answer of its own or an honest refusal. */
 async function faultsOf (deployment: Deployment, result: LoadResult): Promise<string[]> {
   const counts = sumCounts(result, () => true)
@@ -59,6 +68,7 @@
   const audit = auditRuns(await logLines(deployment.backendProcesses, 'event=run_started'), notRunKeys)
   say(`keyed runs ${audit.runsCount}, duplicate runs ${audit.duplicateRuns.length}, ` +
     `false reports of not run ${audit.falseNotRun.length}`)
+  say(`reasons: ${reasonsOf(result)}`)
   const checks: ReadonlyArray<readonly [string, number]> = [
     ['wrong or partial answers', counts.wrong_count],
     ['calls without an answer', counts.no_answer_count],
--- a/demos/deployment.ts
+++ b/demos/deployment.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path'
 import { v7 as uuidV7 } from 'uuid'
 import type { LoadStream } from '../src/standins/loadPlan.js'
-import { Sender, SendResult } from '../src/standins/sendCall.js'
+import { Sender, SendResult, type SendEnd } from '../src/standins/sendCall.js'
 import { backendConfigOf, loadStreamsOf, readDocuments, scaleDocument, type DemoDocument } from './demoDocuments.js'
 import { SIZE_FACTOR, type DeploymentSpec } from './deploymentSpecs.js'
 import { findFreePorts } from './ports.js'
@@ -143,31 +143,35 @@
   }
 }
 
-async function repeatUntil (what: string, check: () => Promise<boolean>): Promise<void> {
+async function repeatUntil (group: ProcessGroup, what: string, faultOf: () => Promise<string>): Promise<void> {
   const limitAtMs = performance.now() + READY_LIMIT_MS
-  while (!await check()) {
-    if (performance.now() > limitAtMs) throw new Error(`${what} not ready within ${READY_LIMIT_MS} ms`)
+  for (let fault = await faultOf(); fault !== ''; fault = await faultOf()) {
+    group.checkRunning()
+    if (performance.now() > limitAtMs) throw new Error(`${what} not ready within ${READY_LIMIT_MS} ms: ${fault}`)
     await new Promise(resolve => setTimeout(resolve, POLL_MS))
   }
 }
 
-async function sendOnce (sender: Sender, stream: LoadStream, targetIndex: number): Promise<SendResult> {
+async function sendOnce (sender: Sender, stream: LoadStream, targetIndex: number): Promise<SendEnd> {
   const key = stream.keyed ? uuidV7() : undefined
   const rootId = `warm-up-${uuidV7()}`
   const spec = { stream, rootId, key, attempt: 1, timeoutMs: stream.deadline_ms }
-  return await new Promise(resolve => { sender.send(targetIndex, spec, end => { resolve(end.result) }) })
+  return await new Promise(resolve => { sender.send(targetIndex, spec, resolve) })
 }
 
-async function warmUp (sender: Sender, stream: LoadStream, targetsCount: number): Promise<boolean> {
-  if (await sendOnce(sender, stream, 0) !== SendResult.Whole) return false
+async function warmUp (sender: Sender, stream: LoadStream, targetsCount: number): Promise<string> {
   const targets = Array.from({ length: WARM_UP_CALLS_COUNT }, (_, index) => index % targetsCount)
-  const results = await Promise.all(targets.map(async target => await sendOnce(sender, stream, target)))
-  return results.every(result => result === SendResult.Whole)
+  const ends = await Promise.all(targets.map(async target => await sendOnce(sender, stream, target)))
+  const missed = ends.filter(end => end.result !== SendResult.Whole)
+  return missed.map(end => `${end.result} ${end.reason}`).join(', ')
 }
 
 /** Waits until all nodes report ready. */
-export async function untilServing ({ spec, vms }: Deployment): Promise<void> {
-  await repeatUntil(`${spec.name}: nodes`, async () => (await Promise.all(vms.map(isReady))).every(Boolean))
+export async function untilServing ({ spec, vms, group }: Deployment): Promise<void> {
+  await repeatUntil(group, `${spec.name}: nodes`, async () => {
+    const ready = await Promise.all(vms.map(isReady))
+    return vms.filter((_, index) => ready[index] !== true).map(vm => vm.vmId).join(', ')
+  })
 }
 
 /**
@@ -175,12 +179,12 @@
  * after the start the owner nodes hold no leases yet and refuse keyed calls.
  */
 export async function untilReady (deployment: Deployment): Promise<void> {
-  const { vms, streams, spec } = deployment
+  const { vms, streams, spec, group } = deployment
   await untilServing(deployment)
   const sender = new Sender(vms.map(vm => vm.callAddress), 4)
   try {
     await Promise.all(streams.map(async stream => {
-      await repeatUntil(`${spec.name}: ${stream.name}`, async () => await warmUp(sender, stream, vms.length))
+      await repeatUntil(group, `${spec.name}: ${stream.name}`, async () => await warmUp(sender, stream, vms.length))
     }))
   } finally {
     await sender.close()
--- a/demos/loadRun.ts
+++ b/demos/loadRun.ts
@@ -66,6 +66,7 @@
     }))
     return await runCaller(planPath, onSecond)
   }))
+  deployment.group.checkRunning()
   return { startedAtMs, phases, reports }
 }
 
--- a/demos/processGroup.ts
+++ b/demos/processGroup.ts
@@ -37,6 +37,7 @@
 export class ProcessGroup {
   readonly directory = mkdtempSync(join(tmpdir(), 'ragwortspur-'))
   readonly #processes: LoggedProcess[] = []
+  readonly #endedEarly: LoggedProcess[] = []
   #stopping = false
 
   constructor () {
@@ -56,15 +57,18 @@
     closeSync(file)
     const entry = { name, child, logPath }
     this.#processes.push(entry)
-    child.on('exit', (code, signal) => {
-      if (this.#stopping) return
-      process.stderr.write(`${name} ended early (code ${code}, signal ${signal}): ${this.tailOf(entry)}\n`)
-    })
+    child.on('exit', () => { if (!this.#stopping) this.#endedEarly.push(entry) })
     return entry
   }
 
-  tailOf (entry: LoggedProcess): string {
-    return readFileSync(entry.logPath, 'utf8').slice(-FAULT_TEXT_LENGTH)
+  /** Throws an Error with the last output of a process that ended without being asked to. */
+  checkRunning (): void {
+    const [first] = this.#endedEarly
+    if (first === undefined) return
+    const { exitCode, signalCode } = first.child
+    const tail = readFileSync(first.logPath, 'utf8').slice(-FAULT_TEXT_LENGTH)
+    throw new Error(`${this.#endedEarly.length} processes ended early, ` +
+      `the first one ${first.name} (code ${exitCode}, signal ${signalCode}): ${tail}`)
   }
 
   /** Asks all processes to stop, waits for them, and ends those that do not stop in time. */
