Let the expected service time of a silent route fall to zero

Cause: when the first calls of a route timed out, the long-term floor was as high as the deadline, and the estimate fell no further than that floor. Each call was then refused as deadline_too_short and no answer could correct the estimate: the demo gave up after 45 s with nothing but deadline_too_short. Ruled out: leaving timeouts out of the estimate, since a server too slow to answer any call in time would then never look slow. Change: without answers the estimate halves every 100 ms towards zero.

--- a/src/core/admission/serviceTimes.ts
+++ b/src/core/admission/serviceTimes.ts
@@ -5,7 +5,7 @@
 const BASELINE_FALL_RATIO = 1 / 8
 /** At 400 answers a second the floor follows a lasting change within about 10 s. */
 const BASELINE_RISE_RATIO = 1 / 4096
-/** An estimate without new answers is kept this long before it falls. */
+/** An estimate without new answers is kept this long before it falls, whatever it is made of. */
 const STALE_AFTER_MS = 200
 /** Halving this often brings a tenfold estimate back to the floor in 0.35 s. */
 const STALE_HALVING_MS = 100
@@ -40,14 +40,14 @@
 
 /**
  * Expected service time, 0 when nothing is known. Without new answers the
- * estimate falls to the long-term floor: a high estimate refuses the very calls
- * whose answers would correct it.
+ * estimate falls towards 0: a high estimate refuses the very calls whose answers
+ * would correct it. It does not stop at the long-term floor, which is itself as
+ * high as a timeout when the first calls of a route timed out.
  *
  * @example
  * expectedMs(timesOf(db, 'book'), nowMs)
  */
 export function expectedMs (times: RouteTimes, nowMs: Millis): Millis {
   const staleMs = nowMs - times.lastSampleAtMs - STALE_AFTER_MS
-  if (staleMs <= 0 || times.recentMs <= times.baselineMs) return times.recentMs
-  return Math.max(times.baselineMs, times.recentMs * 2 ** (-staleMs / STALE_HALVING_MS))
+  return staleMs <= 0 ? times.recentMs : times.recentMs * 2 ** (-staleMs / STALE_HALVING_MS)
 }
