Name each answer after its own call and report ready with a lease only

Bookings were refused as idempotency_key_unknown_history in the first seconds because a node called itself ready before it could run new keys. Ruled out: leaving the id out of remembered answers, since a missing echo cannot show a crossed answer. Change: each answer carries the id of the call it answers; a node is ready when its lease covers the present label, if a route of its service needs keys.

--- a/src/core/nodeCore/callEnd.ts
+++ b/src/core/nodeCore/callEnd.ts
@@ -117,7 +117,12 @@
 
 function answerOf (turn: Turn, state: CallState, end: CallEnd, returnedCount: number): Answer {
   const base = baseAnswer(turn, end)
-  const headers: Record<string, string> = { ...base.headers, 'ragwortspur-cut-level': String(cutLevelOf(turn, state)) }
+  const headers: Record<string, string> = {
+    ...base.headers,
+    // A remembered answer carries the id of the call that ran, which the sender would take for a crossed answer.
+    'ragwortspur-call': state.call.callId,
+    'ragwortspur-cut-level': String(cutLevelOf(turn, state))
+  }
   if (state.call.source.kind === 'peer') headers['ragwortspur-retry-return'] = String(returnedCount)
   return { ...base, headers }
 }
--- a/src/core/nodeCore/nodeCoreDefinition.ts
+++ b/src/core/nodeCore/nodeCoreDefinition.ts
@@ -1,6 +1,7 @@
 import { admissionDefinition } from '../admission/admissionDefinition.js'
 import { assertNever } from '../../errors/errors.js'
 import type { RandomSource, Violation } from '../coreTypes.js'
+import { documentsDefinition } from '../documents/documentsDefinition.js'
 import { idempotencyDefinition } from '../idempotency/idempotencyDefinition.js'
 import { membershipDefinition } from '../membership/membershipDefinition.js'
 import { Evidence } from '../membership/membershipTypes.js'
@@ -52,6 +53,7 @@
   },
 
   duePolls,
+  isReady,
 
   violations: findViolations as (db: NodeCoreDb, nowMs: number) => Violation[]
 }
@@ -131,6 +133,19 @@
   if (turn.db.calls.size === 0) turn.commands.push({ kind: 'stopped' })
 }
 
+/**
+ * Whether the node can take all calls of its service: it knows its document and
+ * list, and holds a lease for new keys if a route needs one.
+ */
+function isReady (db: NodeCoreDb, wallMs: number): boolean {
+  if (db.nodeState !== 'serving') return false
+  if (!db.settings.controlEnabled) return true
+  const inForce = documentsDefinition.documentOf(db.family.documents, db.settings.serviceName)
+  if (inForce?.document.routes.every(route => route.idempotent) === true) return true
+  const lease = idempotencyDefinition.lease(db.family.idempotency)
+  return lease !== null && lease.fromLabelMs <= wallMs && wallMs < lease.untilLabelMs
+}
+
 /** Ticks come far more often than this, so a longer gap between events is a pause of the process. */
 const PAUSE_NOTICED_AFTER_MS = 1_000
 /** A node that hears neither list nor backend server after a pause goes on with what it knows. */
--- a/src/node/nodeShell.ts
+++ b/src/node/nodeShell.ts
@@ -87,7 +87,7 @@
   emit (event: NodeEvent): NodeCommand[] {
     const commands = nodeCoreDefinition.handle(this.#db, event, this.#time())
     for (const command of commands) this.#run(command)
-    if (!this.#ready && this.#db.nodeState === 'serving') this.#noteReady()
+    if (!this.#ready && nodeCoreDefinition.isReady(this.#db, this.#clock.wallMs())) this.#noteReady()
     return commands
   }
 
--- a/src/node/operatorView.ts
+++ b/src/node/operatorView.ts
@@ -8,7 +8,7 @@
 import { ledgerDefinition } from '../core/ledger/ledgerDefinition.js'
 import { membershipDefinition } from '../core/membership/membershipDefinition.js'
 import type { NodeCoreDb } from '../core/nodeCore/nodeCoreDb.js'
-import { isStopping } from '../core/nodeCore/nodeCoreDb.js'
+import { nodeCoreDefinition } from '../core/nodeCore/nodeCoreDefinition.js'
 import { retryDefinition } from '../core/retry/retryDefinition.js'
 import { routingDefinition } from '../core/routing/routingDefinition.js'
 import type { OperatorView } from './operatorServer.js'
@@ -30,7 +30,7 @@
   const startedAtMs = clock.monotonicMs()
   return {
     isLive: () => db.nodeState !== 'stopped',
-    isReady: () => db.nodeState === 'serving' && !isStopping(db),
+    isReady: () => nodeCoreDefinition.isReady(db, clock.wallMs()),
     status: () => statusOf(db, clock, traffic(), startedAtMs),
     collect: registry => collect(registry, db, clock)
   }
