Let nodes and the bench leave out single mechanisms

Cause: what a mechanism is worth could only be measured in the policy model, not with real processes. Ruled out: a variable in the environment, since all programs refuse variables that they do not know.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -46,10 +46,17 @@
   describe: 'Measures goodput, recovery, harm, added latency and the cost of control with real processes',
   specs: {
     json: switchSetting('Print the figures as one JSON object on the last line'),
-    quick: switchSetting('Short phases; leaves out the baseline and the slow service, whose figures are null')
+    quick: switchSetting('Short phases; leaves out the baseline and the slow service, whose figures are null'),
+    without: {
+      describe: 'Mechanisms that the nodes leave out, separated by commas, to measure what they are worth',
+      schema: z.string(),
+      default: '',
+      allowed: 'as the flag of the same name of ragwortspur-node'
+    }
   }
 })
 const times = settings.quick ? QUICK_TIMES : FULL_TIMES
+const controlled = { control: true, without: settings.without }
 
 function say (text: string): void {
   process.stdout.write(`${text}\n`)
@@ -141,8 +148,8 @@
 }
 
 async function startBoth (): Promise<[Deployment, Deployment]> {
-  const lyhter = await startDeployment(DEPLOYMENT_SPECS.lyhter, { control: true })
-  return [lyhter, await startDeployment(DEPLOYMENT_SPECS.restringing, { control: true })]
+  const lyhter = await startDeployment(DEPLOYMENT_SPECS.lyhter, controlled)
+  return [lyhter, await startDeployment(DEPLOYMENT_SPECS.restringing, controlled)]
 }
 
 /** Measures latency on a machine that is idle otherwise. */
--- a/demos/deployment.ts
+++ b/demos/deployment.ts
@@ -40,6 +40,8 @@
 export interface DeploymentOptions {
   /** Whether the nodes control overload or pass all calls on. */
   readonly control: boolean
+  /** Mechanisms that the nodes leave out, as a list with commas. */
+  readonly without?: string
 }
 
 async function placeVms (spec: DeploymentSpec): Promise<DeployedVm[]> {
@@ -81,13 +83,15 @@
   return values
 }
 
-function nodeFlags (vm: DeployedVm, platformAddress: string, peers: readonly string[], control: boolean): string[] {
+function nodeFlags (
+  vm: DeployedVm, platformAddress: string, peers: readonly string[], options: DeploymentOptions
+): string[] {
   return [
     '--node-id', vm.vmId, '--service', vm.service, '--data-centre', vm.dataCentre,
     '--call-address', vm.callAddress, '--control-address', vm.controlAddress,
     '--operator-address', vm.operatorAddress, '--backend-address', vm.backendAddress,
     '--platform-address', platformAddress, '--peers', peers.filter(peer => peer !== vm.callAddress).join(','),
-    '--control', control ? 'on' : 'off'
+    '--control', options.control ? 'on' : 'off', '--without', options.without ?? ''
   ]
 }
 
@@ -116,7 +120,7 @@
     .map(vm => vm.callAddress)
   const backendProcesses = vms.map((vm, index) => startBackend(group, spec, documents, vm, index + 1))
   const nodeProcesses = vms.map(vm => group.start(
-    `node-${vm.vmId}`, '../src/cli/nodeMain.js', nodeFlags(vm, platformAddress, peers, options.control)
+    `node-${vm.vmId}`, '../src/cli/nodeMain.js', nodeFlags(vm, platformAddress, peers, options)
   ))
   const streams = loadStreamsOf(spec, documents)
   return { spec, documents, streams, vms, group, configControlAddress, nodeProcesses, backendProcesses }
--- /dev/null
+++ b/src/node/mechanisms.ts
@@ -0,0 +1,39 @@
+import type { FamilySettings } from '../core/registry.js'
+import { assertNever } from '../errors/errors.js'
+
+/** Mechanisms that can be switched off alone, to measure what each is worth. */
+export enum Mechanism {
+  AdaptiveLimit = 'adaptive_limit',
+  ChainAdmission = 'chain_admission',
+  NewestFirst = 'newest_first',
+  Priorities = 'priorities',
+  RefuseByDeadline = 'refuse_by_deadline',
+  ChoiceOfTwo = 'choice_of_two',
+  LendDownChain = 'lend_down_chain',
+  VitalReserve = 'vital_reserve'
+}
+
+/**
+ * Settings of the families with some mechanisms switched off.
+ *
+ * @example
+ * settingsWithout([Mechanism.ChainAdmission]) // { admission: { chainAdmission: false } }
+ */
+export function settingsWithout (mechanisms: readonly Mechanism[]): FamilySettings {
+  return mechanisms.reduce<FamilySettings>(without, {})
+}
+
+function without (settings: FamilySettings, mechanism: Mechanism): FamilySettings {
+  const { admission, agreement, routing, retry } = settings
+  switch (mechanism) {
+    case Mechanism.AdaptiveLimit: return { ...settings, admission: { ...admission, adaptiveLimit: false } }
+    case Mechanism.ChainAdmission: return { ...settings, admission: { ...admission, chainAdmission: false } }
+    case Mechanism.NewestFirst: return { ...settings, admission: { ...admission, newestFirst: false } }
+    case Mechanism.Priorities: return { ...settings, admission: { ...admission, priorities: false } }
+    case Mechanism.RefuseByDeadline: return { ...settings, admission: { ...admission, refuseByDeadline: false } }
+    case Mechanism.ChoiceOfTwo: return { ...settings, routing: { ...routing, choiceOfTwo: false } }
+    case Mechanism.LendDownChain: return { ...settings, retry: { ...retry, lendDownChain: false } }
+    case Mechanism.VitalReserve: return { ...settings, agreement: { ...agreement, vitalReserveRatio: 0 } }
+    default: return assertNever(mechanism)
+  }
+}
--- a/src/node/nodeSettings.ts
+++ b/src/node/nodeSettings.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { Mechanism } from './mechanisms.js'
 import type { ProgramSpec, SettingSpecs, SettingsOf } from '../settings/settings.js'
 
 const ADDRESS = /^(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$/
@@ -36,6 +37,12 @@
       default: 'on',
       allowed: 'on or off'
     },
+    without: {
+      describe: 'Mechanisms that are switched off, separated by commas, for comparisons',
+      schema: z.string().transform(listOf).pipe(z.array(z.enum(Mechanism))),
+      default: '',
+      allowed: `list of ${Object.values(Mechanism).join(', ')}, or empty`
+    },
     connectionsMax: {
       describe: 'Connections that callers may open to this node',
       schema: z.coerce.number().int().min(1).max(100_000),
--- a/src/node/nodeShell.ts
+++ b/src/node/nodeShell.ts
@@ -17,6 +17,7 @@
 import type { SenderView } from './callReader.js'
 import { CallTask } from './callTask.js'
 import { ControlTask } from './controlTask.js'
+import { settingsWithout } from './mechanisms.js'
 import { splitAddress } from './nodeSettings.js'
 import type { NodeSettings } from './nodeSettings.js'
 import { OperatorServer } from './operatorServer.js'
@@ -52,7 +53,7 @@
       serviceName: settings.service,
       dataCentre: settings.dataCentre,
       controlEnabled: settings.control === 'on'
-    }, {}, Math.random, this.#time())
+    }, settingsWithout(settings.without), Math.random, this.#time())
     this.#backend = new BackendLink({
       address: settings.backendAddress,
       clock: this.#clock,
