Pass set-cookie on and keep busy pools off a peer's record

Cause: the core rebuilt an answer from status, headers and body, so the cookies that the pool keeps apart were lost. A send that the node's own pool bounds held back was reported as a failed connect: it counted towards the ejection of a healthy peer, and a backend server behind a full pool was reported as down. An answer above the size bound gave status 413, which tells the caller that its request was too large. Ruled out: joining cookies into one header, since a cookie may hold a comma. Change: answers carry `setCookies`, also in the key memory; `poolBusy` goes to the core, where it is no word on the peer (`PeerResult.Cancelled`) and is `too_many_connections` for the backend server; a request that undici refuses to write counts as such; an unknown outcome with `body_too_large` is a 502.

--- a/src/core/idempotency/idempotencyTypes.ts
+++ b/src/core/idempotency/idempotencyTypes.ts
@@ -74,6 +74,7 @@
 export interface RememberedAnswer {
   readonly status: number
   readonly headers: Readonly<Record<string, string>>
+  readonly setCookies?: readonly string[]
   readonly body: Uint8Array
 }
 
--- a/src/core/idempotency/keyMemory.ts
+++ b/src/core/idempotency/keyMemory.ts
@@ -154,6 +154,7 @@
 function answerSizeBytes (answer: RememberedAnswer): number {
   let sizeBytes = answer.body.byteLength
   for (const [name, value] of Object.entries(answer.headers)) sizeBytes += name.length + value.length
+  for (const value of answer.setCookies ?? []) sizeBytes += value.length
   return sizeBytes
 }
 
--- a/src/core/nodeCore/callEnd.ts
+++ b/src/core/nodeCore/callEnd.ts
@@ -10,7 +10,7 @@
 import type { Turn } from './nodeCoreDb.js'
 import { outcomeOf } from './nodeCoreTypes.js'
 import type { Answer, CallEnd, CallState, IncomingCall } from './nodeCoreTypes.js'
-import { statusOf } from './statusCodes.js'
+import { statusOf, statusOfUnknown } from './statusCodes.js'
 
 const encoder = new TextEncoder()
 
@@ -155,7 +155,7 @@
   for (const [name, value] of Object.entries(answer.headers)) {
     if (!OWN_HEADERS.has(name)) headers[name] = value
   }
-  return { status: answer.status, headers: { ...headers, ...nodeHeaders(turn, Outcome.Done) }, body: answer.body }
+  return { ...answer, headers: { ...headers, ...nodeHeaders(turn, Outcome.Done) } }
 }
 
 function nodeHeaders (turn: Turn, outcome: Outcome): Record<string, string> {
@@ -171,7 +171,7 @@
 ): Answer {
   const body = { outcome: end.outcome, reason: end.reason, limited_by: end.limitedBy }
   return {
-    status: statusOf(end.reason),
+    status: end.outcome === Outcome.Unknown ? statusOfUnknown(end.reason) : statusOf(end.reason),
     headers: {
       ...nodeHeaders(turn, end.outcome),
       'content-type': 'application/json',
--- a/src/core/nodeCore/callResults.ts
+++ b/src/core/nodeCore/callResults.ts
@@ -75,7 +75,10 @@
       }
       return { kind: 'done', answer: answerFrom(result) }
     case 'failed':
-      if (!result.bytesSent) return notRun(state, { kind: 'refused_by_executor', nodeId }, Reason.BackendDown)
+      if (!result.bytesSent) {
+        const reason = result.poolBusy === true ? Reason.TooManyConnections : Reason.BackendDown
+        return notRun(state, { kind: 'refused_by_executor', nodeId }, reason)
+      }
       return { kind: 'unknown', reason: result.reason }
   }
 }
@@ -88,7 +91,10 @@
 }
 
 function answerFrom (result: Answer): Answer {
-  return { status: result.status, headers: result.headers, body: result.body }
+  const { status, headers, setCookies, body } = result
+  return setCookies === undefined || setCookies.length === 0
+    ? { status, headers, body }
+    : { status, headers, setCookies, body }
 }
 
 /** A peer answered a forwarded call, or the send failed. */
@@ -98,7 +104,8 @@
   const { db, nowMs } = turn
   state.servedMs = nowMs - state.sentAtMs
   const end = peerEnd(state, result)
-  const peerResult = state.chartState === 'abandoned' ? PeerResult.Cancelled : peerResultOf(end)
+  const isUnjudged = state.chartState === 'abandoned' || (result.kind === 'failed' && result.poolBusy === true)
+  const peerResult = isUnjudged ? PeerResult.Cancelled : peerResultOf(end)
   routingDefinition.finished(db.family.routing, state.forwardedTo, peerResult, state.servedMs, nowMs)
   settleLoan(turn, state, result)
   if (result.kind === 'answered') learnFromAnswer(turn, state, result)
--- a/src/core/nodeCore/nodeCoreTypes.ts
+++ b/src/core/nodeCore/nodeCoreTypes.ts
@@ -46,13 +46,22 @@
 export interface Answer {
   readonly status: number
   readonly headers: Readonly<Record<string, string>>
+  /** Values of `set-cookie`, the one header that cannot be joined into a single line. */
+  readonly setCookies?: readonly string[]
   readonly body: Uint8Array
 }
 
 /** How one send to a backend server or peer ended. */
 export type SendResult =
   | ({ readonly kind: 'answered', readonly tookMs: Millis } & Answer)
-  | { readonly kind: 'failed', readonly reason: Reason, readonly bytesSent: boolean, readonly tookMs: Millis }
+  | {
+    readonly kind: 'failed'
+    readonly reason: Reason
+    readonly bytesSent: boolean
+    /** The node's own bounds held the send back, which says nothing about the other side. */
+    readonly poolBusy?: boolean
+    readonly tookMs: Millis
+  }
 
 /** Why a call is known not to have run. Without a proof no call is reported as not run. */
 export type NotRunProof =
--- a/src/core/nodeCore/statusCodes.ts
+++ b/src/core/nodeCore/statusCodes.ts
@@ -1,6 +1,16 @@
 import { Reason } from '../coreTypes.js'
 import { assertNever } from '../../errors/errors.js'
 
+/**
+ * HTTP status of a call whose outcome is unknown. `body_too_large` then means the answer's body, not the request's.
+ *
+ * @example
+ * statusOfUnknown(Reason.BodyTooLarge) // 502
+ */
+export function statusOfUnknown (reason: Reason): number {
+  return reason === Reason.BodyTooLarge ? 502 : statusOf(reason)
+}
+
 /**
  * HTTP status of an answer that the node makes itself.
  *
--- a/src/node/connectionPool.ts
+++ b/src/node/connectionPool.ts
@@ -254,9 +254,10 @@
   }
 
   unsent (call: PoolCall, error: Error): void {
-    const isClosed = (error as { code?: string }).code !== 'UND_ERR_INVALID_ARG'
-    if (!isClosed || call.resentCount >= RESENDS_MAX_COUNT) {
-      this.failed(call, Reason.ConnectFailed)
+    // A request that the client library refuses to write says nothing about the place.
+    const isInvalid = (error as { code?: string }).code === 'UND_ERR_INVALID_ARG'
+    if (isInvalid || call.resentCount >= RESENDS_MAX_COUNT) {
+      this.failed(call, Reason.ConnectFailed, isInvalid)
       return
     }
     call.resentCount++
