Bound and test the caller side with real sockets

Cause: reading found these faults. An idempotency key above 128 characters was cut off, so two keys could become one and a caller could get another's remembered answer. Garbage behind an open call on the same connection was answered with `not_run`, which the caller takes for the answer of the call that runs. `GET /ragwortspur/values/%E0` threw out of the event loop. Connections above the bound were closed without a status. A refused sender that was still sending could lose the answer to a reset. HEAD answers got length 0, 204 and 304 a length they must not have. Pools of unlisted addresses were never closed. Ruled out: `socket.end` right after a refusal, since closing on unread bytes resets the connection; a shorter bound for keys, since sub-calls derive their key from that of the parent (bound now 512, other ids 128).

--- a/src/node/callReader.ts
+++ b/src/node/callReader.ts
@@ -1,13 +1,22 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage } from 'node:http'
-import { Importance } from '../core/coreTypes.js'
+import { Left, Right } from 'purify-ts'
+import type { Either } from 'purify-ts'
+import { Importance, Reason } from '../core/coreTypes.js'
 import { hashBytes32 } from '../core/hash.js'
 import type { CallSource, IncomingCall } from '../core/nodeCore/nodeCoreTypes.js'
 
-/** Ids longer than this are cut off, since they are kept and logged for each call. */
+/** Names and ids are kept and logged for each call. A longer one is refused: cut off, two keys could become one. */
 const ID_MAX_CHARS = 128
+/** Sub-calls derive their key from that of their parent, so it grows with each hop. */
+const KEY_MAX_CHARS = 512
 const SERVICE_IN_PATH = /^\/([A-Za-z0-9._-]+)(\/.*)?$/
 const WHOLE_NUMBER = /^\d{1,9}$/
+/** Headers whose values must have a certain form; the sender must not believe that a faulty one applies. */
+const ID_HEADERS = [
+  'ragwortspur-caller', 'ragwortspur-service', 'ragwortspur-root', 'ragwortspur-call', 'ragwortspur-parent'
+]
+const NUMBER_HEADERS = ['ragwortspur-deadline-ms', 'ragwortspur-attempt']
 const IMPORTANCES: ReadonlySet<string> = new Set(Object.values(Importance))
 
 /** What the shell knows about the sender of a call. */
@@ -25,7 +34,15 @@
 
 function text (message: IncomingMessage, name: string): string {
   const value = message.headers[name]
-  return typeof value === 'string' ? value.slice(0, ID_MAX_CHARS) : ''
+  return typeof value === 'string' ? value : ''
+}
+
+function hasFaultyHeader (message: IncomingMessage): boolean {
+  const importance = text(message, 'ragwortspur-importance')
+  return ID_HEADERS.some(name => text(message, name).length > ID_MAX_CHARS) ||
+    text(message, 'idempotency-key').length > KEY_MAX_CHARS ||
+    NUMBER_HEADERS.some(name => message.headers[name] !== undefined && !WHOLE_NUMBER.test(text(message, name))) ||
+    (importance !== '' && !IMPORTANCES.has(importance))
 }
 
 function wholeNumber (value: string): number | null {
@@ -68,17 +85,20 @@
  * Reads a request into the form that the core takes.
  *
  * @example
- * readCall(message, body, senders, 'depot-stock').serviceName
+ * readCall(message, body, senders, 'depot-stock').map(call => call.serviceName)
+ *
+ * Errors: `malformed_call` for an id that is too long, or a number or importance of the wrong form.
  */
 export function readCall (
   message: IncomingMessage, body: Uint8Array | null, senders: SenderView, ownServiceName: string
-): IncomingCall {
+): Either<Reason, IncomingCall> {
+  if (hasFaultyHeader(message)) return Left(Reason.MalformedCall)
   const source = sourceOf(message, senders)
   const { serviceName, path } = targetOf(message)
   const isPeer = source.kind === 'peer'
   const callId = (isPeer ? text(message, 'ragwortspur-call') : '') || randomUUID()
   const key = text(message, 'idempotency-key')
-  return {
+  return Right({
     callId,
     source,
     callerName: text(message, 'ragwortspur-caller') || (source.kind === 'backend_server' ? ownServiceName : ''),
@@ -92,7 +112,7 @@
     attempt: wholeNumber(text(message, 'ragwortspur-attempt')),
     askedImportance: isPeer ? null : importanceIn(text(message, 'ragwortspur-importance')),
     bodyHash: body === null ? 0 : hashBytes32(body)
-  }
+  })
 }
 
 /** Headers of a request that go on to the next hop. */
--- /dev/null
+++ b/src/node/callServer.spec.ts
@@ -0,0 +1,133 @@
+import { call, NodeWorld, openRaw, SERVICE } from '../testing/nodeWorld.js'
+import type { CallOptions } from '../testing/nodeWorld.js'
+import { until } from '../testing/valueServer.js'
+
+const SLOW_SENDER = { headTimeoutMs: 60, requestTimeoutMs: 60, senderCheckPeriodMs: 10 }
+const HEAD = `GET /${SERVICE}/stock HTTP/1.1\r\nhost: node\r\nragwortspur-caller: dispatchers\r\n`
+const POST_HEAD = HEAD.replace('GET', 'POST')
+
+const world = new NodeWorld()
+
+afterEach(async () => { await world.stop() })
+
+/** A well-behaved call that is open while `during` runs gets its own whole answer. */
+async function besideOpenCall (during: () => Promise<void>): Promise<void> {
+  const backend = world.backends[0]!
+  let finish = (): void => {}
+  const answerAtOnce = backend.onCall
+  const seenCount = backend.seen.length
+  backend.onCall = (_request, response) => { finish = () => { response.end('undisturbed') } }
+  const open = call(world.nodes[0]!)
+  await until(() => backend.seen.length > seenCount)
+  backend.onCall = answerAtOnce
+  await during()
+  finish()
+  expect(await open).toMatchObject({ status: 200, text: 'undisturbed' })
+}
+
+describe('a faulty call gets a status with a reason, and a call beside it is not disturbed', () => {
+  const keyed = { method: 'POST', path: `/${SERVICE}/orders` }
+  const long = 'x'.repeat(129)
+  const cases: Array<[string, CallOptions, number, string]> = [
+    ['unknown service', { path: '/nobody/stock' }, 404, 'unknown_service'],
+    ['unknown route', { path: `/${SERVICE}/other` }, 404, 'unknown_route'],
+    ['missing caller', { headers: { 'ragwortspur-caller': '' } }, 400, 'caller_missing'],
+    ['importance above the allowed', { headers: { 'ragwortspur-importance': 'vital' } }, 403, 'importance_not_allowed'],
+    ['importance of no known name', { headers: { 'ragwortspur-importance': 'urgent' } }, 400, 'malformed_call'],
+    ['deadline that is no number', { headers: { 'ragwortspur-deadline-ms': '-5' } }, 400, 'malformed_call'],
+    ['missing idempotency key', keyed, 400, 'idempotency_key_missing'],
+    ['root id above the bound', { headers: { 'ragwortspur-root': long } }, 400, 'malformed_call'],
+    ['key above the bound', { ...keyed, headers: { 'idempotency-key': long.repeat(4) } }, 400, 'malformed_call'],
+    ['body above the bound', { method: 'POST', body: Buffer.alloc(3_000_000) }, 413, 'body_too_large'],
+    ['unsupported expectation', { headers: { expect: 'tea' } }, 400, 'malformed_call'],
+    ['pull of a wrongly encoded key', { path: '/ragwortspur/values/%E0' }, 400, 'malformed_call']
+  ]
+
+  test.each(cases)('%s', async (_name, options, status, reason) => {
+    await world.start(1)
+    await besideOpenCall(async () => {
+      const answer = await call(world.nodes[0]!, options)
+      expect(answer).toMatchObject({ status, reason })
+      expect(answer.headers['ragwortspur-outcome']).toBe('not_run')
+      expect(JSON.parse(answer.text)).toMatchObject({ outcome: 'not_run', reason })
+    })
+  })
+
+  test.each([
+    ['oversized head', `${HEAD}x-long: ${'x'.repeat(200_000)}\r\n\r\n`, '431', 'head_too_large'],
+    ['malformed head', 'this is no request\r\n\r\n', '400', 'malformed_call'],
+    ['oversized chunked body',
+      `${POST_HEAD}transfer-encoding: chunked\r\n\r\n1e8480\r\n${'x'.repeat(2_000_000)}\r\n0\r\n\r\n`, '413', 'body_too_large'],
+    ['slow sender of a head', HEAD, '408', 'slow_sender'],
+    ['slow sender of a body', `${POST_HEAD}content-length: 10\r\n\r\nhalf`, '408', 'slow_sender']
+  ])('%s', async (_name, text, status, reason) => {
+    await world.start(1, SLOW_SENDER)
+    await besideOpenCall(async () => {
+      const answer = await openRaw(world.nodes[0]!, text).ended()
+      expect(answer).toContain(`HTTP/1.1 ${status} `)
+      expect(answer).toContain(`ragwortspur-reason: ${reason}`)
+    })
+  })
+
+  test('too many connections', async () => {
+    await world.start(1, {}, 2)
+    await besideOpenCall(async () => {
+      const second = openRaw(world.nodes[0]!, HEAD)
+      await until(() => !second.socket.connecting)
+      expect(await call(world.nodes[0]!)).toMatchObject({ status: 503, reason: 'too_many_connections' })
+      second.socket.destroy()
+    })
+  })
+})
+
+test('an unknown caller is served on the terms of the default caller', async () => {
+  await world.start(1)
+  const headers = { 'ragwortspur-caller': 'nobody' }
+  expect((await call(world.nodes[0]!, { headers })).status).toBe(200)
+  const asking = { ...headers, 'ragwortspur-importance': 'high' }
+  expect((await call(world.nodes[0]!, { headers: asking })).reason).toBe('importance_not_allowed')
+})
+
+// The answer to the garbage would be taken for that of the call, which runs: a false report of not run.
+test('garbage behind an open call closes the connection without an answer', async () => {
+  await world.start(1)
+  const backend = world.backends[0]!
+  const seenCount = backend.seen.length
+  backend.onCall = () => {}
+  const raw = openRaw(world.nodes[0]!, `${HEAD}\r\n`)
+  await until(() => backend.seen.length > seenCount)
+  raw.socket.write('this is no request\r\n\r\n')
+  expect(await raw.ended()).toBe('')
+})
+
+describe('forms of requests and answers', () => {
+  test('a chunked body and one behind 100-continue arrive whole', async () => {
+    await world.start(1)
+    world.backends[0]!.onCall = (_request, response, body) => { response.end(`got ${body.toString()}`) }
+    const chunked = { method: 'POST', headers: { 'transfer-encoding': 'chunked' }, body: 'in chunks' }
+    expect((await call(world.nodes[0]!, chunked)).text).toBe('got in chunks')
+    const raw = openRaw(world.nodes[0]!, `${POST_HEAD}connection: close\r\nexpect: 100-continue\r\ncontent-length: 4\r\n\r\n`)
+    await until(() => raw.read().startsWith('HTTP/1.1 100 Continue'))
+    raw.socket.write('body')
+    expect(await raw.ended()).toContain('got body')
+  })
+
+  test('every set-cookie of an answer is passed on', async () => {
+    await world.start(1)
+    world.backends[0]!.onCall = (_request, response) => { response.setHeader('set-cookie', ['a=1', 'b=2']).end('x') }
+    expect((await call(world.nodes[0]!)).headers['set-cookie']).toEqual(['a=1', 'b=2'])
+  })
+
+  test('answers without a body keep the length that the backend server gave', async () => {
+    await world.start(1)
+    const [node, backend] = [world.nodes[0]!, world.backends[0]!]
+    backend.onCall = (_request, response) => { response.setHeader('content-length', 5).end('12345') }
+    const head = await call(node, { method: 'HEAD' })
+    expect([head.status, head.headers['content-length'], head.text]).toEqual([200, '5', ''])
+    for (const status of [204, 304]) {
+      backend.onCall = (_request, response) => { response.writeHead(status).end() }
+      const answer = await call(node)
+      expect([answer.status, answer.headers['content-length'], answer.text]).toEqual([status, undefined, ''])
+    }
+  })
+})
--- a/src/node/callTask.ts
+++ b/src/node/callTask.ts
@@ -3,7 +3,7 @@
 import type { Answer, NodeCommand, NodeEvent, IncomingCall } from '../core/nodeCore/nodeCoreTypes.js'
 import type { BackendLink } from './backendLink.js'
 import { passedHeaders } from './callReader.js'
-import type { Reply } from './callServer.js'
+import type { Reply } from './reply.js'
 import { ConnectionPool } from './connectionPool.js'
 import type { PoolRequest } from './connectionPool.js'
 
--- a/src/node/nodeShell.ts
+++ b/src/node/nodeShell.ts
@@ -7,12 +7,13 @@
 import { getCall } from '../core/nodeCore/nodeCoreDb.js'
 import type { NodeCoreDb } from '../core/nodeCore/nodeCoreDb.js'
 import { nodeCoreDefinition } from '../core/nodeCore/nodeCoreDefinition.js'
-import type { NodeCommand, NodeEvent } from '../core/nodeCore/nodeCoreTypes.js'
+import type { IncomingCall, NodeCommand, NodeEvent } from '../core/nodeCore/nodeCoreTypes.js'
+import { Reason } from '../core/coreTypes.js'
 import { assertNever } from '../errors/errors.js'
 import { log } from '../log/log.js'
 import { BackendLink } from './backendLink.js'
 import { CallServer } from './callServer.js'
-import type { Reply } from './callServer.js'
+import type { CallServerTimes } from './callServer.js'
 import { readCall } from './callReader.js'
 import type { SenderView } from './callReader.js'
 import { CallTask } from './callTask.js'
@@ -22,8 +23,28 @@
 import { OperatorServer } from './operatorServer.js'
 import { createOperatorView } from './operatorView.js'
 import { RecordWriter } from './recordWriter.js'
+import type { RecordSink } from './recordWriter.js'
+import { faultAnswer, Reply } from './reply.js'
 
 const TICK_PERIOD_MS = 20
+const VALUES_PATH = '/ragwortspur/values/'
+
+export interface NodeShellOptions {
+  readonly clock?: Clock
+  /** Time bounds of the caller side. */
+  readonly times?: Partial<CallServerTimes>
+  /** Takes the records of calls; standard output by default. */
+  readonly records?: RecordSink
+}
+
+/** Key in the path of a pull, or undefined when it is not encoded properly. */
+function keyOf (url: URL): string | undefined {
+  try {
+    return decodeURIComponent(url.pathname.slice(VALUES_PATH.length))
+  } catch {
+    return undefined
+  }
+}
 
 /**
  * One node: the core and the tasks that carry out its commands. Each task owns
@@ -31,21 +52,23 @@
  */
 export class NodeShell {
   readonly #settings: NodeSettings
-  readonly #clock: Clock = systemClock
+  readonly #clock: Clock
   readonly #db: NodeCoreDb
   readonly #backend: BackendLink
   readonly #calls: CallTask
   readonly #control: ControlTask
   readonly #callServer: CallServer
   readonly #operatorServer: OperatorServer
-  readonly #records = new RecordWriter()
+  readonly #records: RecordSink
   readonly #senders: SenderView
   #tickTimer: NodeJS.Timeout | null = null
   #ready = false
   #onStopped: () => void = () => {}
 
-  constructor (settings: NodeSettings) {
+  constructor (settings: NodeSettings, options: NodeShellOptions = {}) {
     this.#settings = settings
+    this.#clock = options.clock ?? systemClock
+    this.#records = options.records ?? new RecordWriter()
     this.#db = nodeCoreDefinition.createDb({
       nodeId: settings.nodeId,
       incarnation: randomUUID().slice(0, 8),
@@ -64,6 +87,7 @@
     this.#control = new ControlTask({ settings, db: this.#db, clock: this.#clock, emit: event => this.emit(event) })
     this.#senders = this.#createSenderView()
     this.#callServer = new CallServer({
+      ...options.times,
       ...splitAddress(settings.callAddress),
       connectionsMaxCount: settings.connectionsMax,
       onCall: (message, body, reply) => this.#receive(message, body, reply),
@@ -74,6 +98,11 @@
     this.#operatorServer = new OperatorServer(host, port, view)
   }
 
+  /** Where calls arrive, with the port that the system chose when the setting has port 0. */
+  get callAddress (): string {
+    return `${splitAddress(this.#settings.callAddress).host}:${this.#callServer.port}`
+  }
+
   async start (): Promise<void> {
     await this.#control.start()
     await this.#operatorServer.listen()
@@ -130,7 +159,13 @@
   }
 
   #receive (message: IncomingMessage, body: Uint8Array | null, reply: Reply): void {
-    const call = readCall(message, body, this.#senders, this.#settings.service)
+    readCall(message, body, this.#senders, this.#settings.service).caseOf({
+      Left: reason => reply.send(faultAnswer(reason)),
+      Right: call => this.#open(call, message, body, reply)
+    })
+  }
+
+  #open (call: IncomingCall, message: IncomingMessage, body: Uint8Array | null, reply: Reply): void {
     if (this.#calls.has(call.callId) || getCall(this.#db, call.callId) !== undefined) {
       reply.drop()
       return
@@ -146,13 +181,17 @@
       response.writeHead(204, typeof callId === 'string' ? { 'ragwortspur-call': callId } : {}).end()
       return true
     }
-    if (!url.startsWith('/ragwortspur/values/')) return false
+    if (!url.startsWith(VALUES_PATH)) return false
     this.#answerValue(new URL(url, 'http://node'), response)
     return true
   }
 
   #answerValue (url: URL, response: ServerResponse): void {
-    const key = decodeURIComponent(url.pathname.slice('/ragwortspur/values/'.length))
+    const key = keyOf(url)
+    if (key === undefined) {
+      new Reply(response).send(faultAnswer(Reason.MalformedCall))
+      return
+    }
     const value = documentsDefinition.valueOf(this.#db.family.documents, key)
     if (value === undefined || value.revision <= Number(url.searchParams.get('after') ?? 0)) {
       response.writeHead(204).end()
@@ -162,6 +201,11 @@
     response.writeHead(200, { 'content-type': 'application/json' }).end(body)
   }
 
+  #listedAddresses (): Set<string> {
+    const lists = membershipDefinition.lists(this.#db.family.membership)
+    return new Set(lists.flatMap(list => list.entries.map(entry => entry.callAddress)))
+  }
+
   #run (command: NodeCommand): void {
     switch (command.kind) {
       case 'dispatch':
@@ -180,6 +224,8 @@
         return
       case 'stopped': return this.#onStopped()
       case 'value_offered':
+        if (command.result.kind === 'stored') this.#calls.keepOnly(this.#listedAddresses())
+        return this.#control.run(command)
       case 'lease_request':
       case 'lease_vote':
       case 'quarantine_hint':
--- a/src/node/recordWriter.ts
+++ b/src/node/recordWriter.ts
@@ -3,8 +3,14 @@
 const FLUSH_PERIOD_MS: Millis = 100
 const FLUSH_SIZE_CHARS = 32_768
 
+/** Where the lines of records go. */
+export interface RecordSink {
+  write (line: string): void
+  close (): Promise<void>
+}
+
 /** Writes the records of calls to standard output in batches; one write per call would cost more than the record. */
-export class RecordWriter {
+export class RecordWriter implements RecordSink {
   #buffer: string[] = []
   #sizeChars = 0
   readonly #timer = setInterval(() => this.#flush(), FLUSH_PERIOD_MS)
--- /dev/null
+++ b/src/testing/nodeWorld.ts
@@ -0,0 +1,228 @@
+import { once } from 'node:events'
+import { createServer, request as sendRequest } from 'node:http'
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http'
+import { connect } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { ManualClock } from '../clock/clock.js'
+import { log } from '../log/log.js'
+import type { CallServerTimes } from '../node/callServer.js'
+import { NodeShell } from '../node/nodeShell.js'
+import { startValueServer, until } from './valueServer.js'
+import type { ValueServer } from './valueServer.js'
+
+export const SERVICE = 'depot-stock'
+const DATA_CENTRE = 'tallinn'
+
+const DOCUMENT = `service: ${SERVICE}
+team: stock
+version: 1
+backend: { slots_count: 20, connections_count: 100 }
+capacity_calls_per_s: 1000
+data_centres: [{ name: ${DATA_CENTRE}, weight_ratio: 1 }]
+retry_budget_count: 0
+routes:
+  - { name: read, method: GET, path_prefix: /stock, importance: high, idempotent: true, deadline_ms: 60000 }
+  - { name: head, method: HEAD, path_prefix: /stock, importance: high, idempotent: true, deadline_ms: 60000 }
+  - { name: count, method: POST, path_prefix: /stock, importance: normal, idempotent: true, deadline_ms: 60000 }
+  - { name: order, method: POST, path_prefix: /orders, importance: vital, idempotent: false, deadline_ms: 60000 }
+callers:
+  - { name: dispatchers, promised_calls_per_s: 1000, max_importance: high }
+default_caller: { promised_calls_per_s: 1000, max_importance: normal }
+`
+
+type Handler = (request: IncomingMessage, response: ServerResponse, body: Buffer) => void
+
+/** A backend server whose answers the test decides. */
+export class TestBackend {
+  #server: Server = this.#create()
+  #address = ''
+  readonly #sockets = new Set<Socket>()
+  onCall: Handler = (_request, response) => { response.end('whole') }
+  health = 'ready'
+  /** Heads of the calls that arrived. */
+  readonly seen: IncomingHttpHeaders[] = []
+
+  get address (): string {
+    return this.#address
+  }
+
+  async start (): Promise<void> {
+    const port = this.#address === '' ? 0 : Number(this.#address.split(':')[1])
+    this.#server = this.#create()
+    this.#server.listen(port, '127.0.0.2')
+    await once(this.#server, 'listening')
+    this.#address = `127.0.0.2:${(this.#server.address() as AddressInfo).port}`
+  }
+
+  /** Ends as a killed process does: all its connections are reset. */
+  async kill (): Promise<void> {
+    const closed = once(this.#server, 'close')
+    this.#server.close()
+    for (const socket of this.#sockets) socket.resetAndDestroy()
+    await closed
+  }
+
+  #create (): Server {
+    const server = createServer((request, response) => {
+      if (request.url === '/health') {
+        response.end(JSON.stringify({ status: this.health }))
+        return
+      }
+      this.seen.push(request.headers)
+      const callId = request.headers['ragwortspur-call']
+      if (callId !== undefined) response.setHeader('ragwortspur-call', callId)
+      const chunks: Buffer[] = []
+      request.on('data', (chunk: Buffer) => chunks.push(chunk))
+      request.on('end', () => this.onCall(request, response, Buffer.concat(chunks)))
+    })
+    server.on('connection', socket => {
+      this.#sockets.add(socket)
+      socket.on('error', () => {}).on('close', () => this.#sockets.delete(socket))
+    })
+    return server
+  }
+}
+
+/** Nodes, each with a backend server, with real sockets on loopback and a clock that stands still. */
+export class NodeWorld {
+  readonly clock = new ManualClock(1_000)
+  readonly nodes: NodeShell[] = []
+  readonly backends: TestBackend[] = []
+  readonly records: string[] = []
+  #platform: ValueServer | null = null
+
+  /** Starts a node for each backend server and waits until all are ready. */
+  async start (nodesCount: number, times: Partial<CallServerTimes> = {}, connectionsMax = 100): Promise<void> {
+    log.level = 'silent'
+    this.#platform = await startValueServer({ path: '/v1/values/', valueOf: () => undefined })
+    for (let index = 0; index < nodesCount; index++) await this.#startNode(index, times, connectionsMax)
+    this.publish()
+    for (const node of this.nodes) await this.#awaitService(node)
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.nodes.splice(0).map(async node => await node.stop()))
+    await Promise.all(this.backends.splice(0).map(async backend => await backend.kill()))
+    await this.#platform?.stop()
+  }
+
+  /** Gives all nodes the document and a list of the nodes that are named. */
+  publish (revision = 1, listed: readonly NodeShell[] = this.nodes): void {
+    const vms = listed.map(node => ({
+      vm_id: `vm-${this.nodes.indexOf(node)}`,
+      service: SERVICE,
+      data_centre: DATA_CENTRE,
+      call_address: node.callAddress,
+      control_address: '127.0.0.1:9',
+      state: 'live'
+    }))
+    const values = [
+      { key: 'catalogue', revision: 1, text: JSON.stringify({ services: [SERVICE], data_centres: [DATA_CENTRE] }) },
+      { key: `documents/${SERVICE}`, revision: 1, text: DOCUMENT },
+      { key: `vms/${DATA_CENTRE}`, revision, text: JSON.stringify({ vms }) }
+    ]
+    for (const node of this.nodes) for (const value of values) node.emit({ kind: 'value_received', value })
+  }
+
+  async #startNode (index: number, times: Partial<CallServerTimes>, connectionsMax: number): Promise<void> {
+    const backend = new TestBackend()
+    await backend.start()
+    this.backends.push(backend)
+    const node = new NodeShell({
+      nodeId: `vm-${index}`,
+      service: SERVICE,
+      dataCentre: DATA_CENTRE,
+      callAddress: '127.0.0.1:0',
+      controlAddress: '127.0.0.1:0',
+      operatorAddress: '127.0.0.1:0',
+      backendAddress: backend.address,
+      platformAddress: `127.0.0.1:${this.#platform?.port ?? 0}`,
+      peers: [],
+      control: 'on',
+      connectionsMax,
+      backendConnectionsMax: 50,
+      stopTimeoutMs: 30_000
+    }, {
+      clock: this.clock,
+      times,
+      records: { write: line => { this.records.push(line) }, close: async () => {} }
+    })
+    await node.start()
+    this.nodes.push(node)
+  }
+
+  async #awaitService (node: NodeShell): Promise<void> {
+    while ((await call(node)).status !== 200) await new Promise(resolve => { setTimeout(resolve, 5) })
+  }
+}
+
+export interface CallOptions {
+  readonly method?: string
+  readonly path?: string
+  readonly headers?: Record<string, string>
+  readonly body?: string | Buffer
+  /** Address that the call comes from. */
+  readonly from?: string
+  readonly signal?: AbortSignal
+}
+
+export interface TestAnswer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly text: string
+  readonly reason: string
+}
+
+/** Sends one call over a connection of its own. */
+export async function call (node: NodeShell, options: CallOptions = {}): Promise<TestAnswer> {
+  const { method = 'GET', path = `/${SERVICE}/stock`, headers = {}, body, from = '127.0.0.1', signal } = options
+  const [host, port] = node.callAddress.split(':')
+  const request = sendRequest({
+    host,
+    port,
+    method,
+    path,
+    localAddress: from,
+    agent: false,
+    signal,
+    headers: { 'ragwortspur-caller': 'dispatchers', ...headers }
+  })
+  request.on('error', () => {})
+  request.end(body)
+  const [response] = await once(request, 'response') as [IncomingMessage]
+  const chunks: Buffer[] = []
+  for await (const chunk of response) chunks.push(chunk as Buffer)
+  return {
+    status: response.statusCode ?? 0,
+    headers: response.headers,
+    text: Buffer.concat(chunks).toString(),
+    reason: String(response.headers['ragwortspur-reason'] ?? '')
+  }
+}
+
+export interface RawConnection {
+  readonly socket: Socket
+  /** What the node has sent so far. */
+  read (): string
+  /** All that the node sent until it closed the connection. */
+  ended (): Promise<string>
+}
+
+/** Opens a connection on which a test writes bytes of its own. */
+export function openRaw (node: NodeShell, text = ''): RawConnection {
+  const [host, port] = node.callAddress.split(':')
+  const socket = connect({ host: host!, port: Number(port) })
+  let received = ''
+  let closed = false
+  socket.on('data', data => { received += String(data) })
+  socket.on('error', () => {}).on('close', () => { closed = true })
+  socket.write(text)
+  return {
+    socket,
+    read: () => received,
+    ended: async () => {
+      await until(() => closed)
+      return received
+    }
+  }
+}
