Test the shell against faulty backend servers, stops and peers

Cause: a sub-call with an unknown parent passed during a planned stop, so work that belongs to no open call could keep a node from stopping. A second `stop` (SIGINT after SIGTERM) replaced the first one's end, which then only came with the stop timeout. Ruled out: refusing all sub-calls during a stop, which would break the calls that the stop waits for. Change: a stopping node takes sub-calls of calls that are open here only; `stop` is run once; the early probe waits for its period instead of being dropped, and follows a probe that met a lost connection; a busy pool is no word on the backend server.

--- a/src/core/nodeCore/callIntake.ts
+++ b/src/core/nodeCore/callIntake.ts
@@ -132,12 +132,22 @@
   }
 }
 
+/** Whether a stopping node still looks at the call: sub-calls of open calls pass, a peer's call is refused later. */
+function isForOpenWork (turn: Turn, call: IncomingCall): boolean {
+  switch (call.source.kind) {
+    case 'caller': return false
+    case 'backend_server': return getCall(turn.db, call.source.parentCallId) !== undefined
+    // Where it would run it is refused with the executor's word, which lets the peer choose another node.
+    case 'peer': return true
+  }
+}
+
 function faultOf (turn: Turn, state: CallState): Reason {
   const { call, route, terms } = state
-  if (isStopping(turn.db) && call.source.kind === 'caller') return Reason.Draining
   if (call.source.kind === 'backend_server' && hasEndedLately(turn.db, call.source.parentCallId)) {
     return Reason.ParentEnded
   }
+  if (isStopping(turn.db) && !isForOpenWork(turn, call)) return Reason.Draining
   if (call.source.kind === 'caller' && call.askedImportance !== null &&
     importanceRank(call.askedImportance) < importanceRank(terms.maxImportance)) {
     return Reason.ImportanceNotAllowed
--- a/src/node/backendLink.ts
+++ b/src/node/backendLink.ts
@@ -33,11 +33,13 @@
   readonly #options: BackendLinkOptions
   readonly #pool: ConnectionPool
   #timer: NodeJS.Timeout | null = null
+  #earlyTimer: NodeJS.Timeout | null = null
   #silentProbesCount = 0
   #heardAtMs: Millis = -Infinity
   #probedAtMs: Millis = -Infinity
   #hasLost = false
   #isUp = false
+  #stopped = false
 
   constructor (options: BackendLinkOptions) {
     this.#options = options
@@ -59,6 +61,8 @@
 
   async stop (): Promise<void> {
     if (this.#timer !== null) clearInterval(this.#timer)
+    if (this.#earlyTimer !== null) clearTimeout(this.#earlyTimer)
+    this.#stopped = true
     await this.#pool.close()
   }
 
@@ -81,16 +85,28 @@
     if (quietMs >= PROBE_PERIOD_MS || !this.#isUp) void this.#probe()
   }
 
+  /**
+   * Asks whether the backend server lives, at once or as soon as the period
+   * allows; a quick restart must not hide a crash.
+   */
   #probeEarly (): void {
-    if (this.#options.clock.monotonicMs() - this.#probedAtMs >= EARLY_PROBE_PERIOD_MS) void this.#probe()
+    if (this.#earlyTimer !== null || this.#stopped) return
+    const waitMs = EARLY_PROBE_PERIOD_MS - (this.#options.clock.monotonicMs() - this.#probedAtMs)
+    if (waitMs <= 0) {
+      void this.#probe()
+      return
+    }
+    this.#earlyTimer = setTimeout(() => {
+      this.#earlyTimer = null
+      void this.#probe()
+    }, waitMs)
   }
 
   async #probe (): Promise<void> {
     this.#probedAtMs = this.#options.clock.monotonicMs()
     const result = await this.#pool.probe('/health', PROBE_TIMEOUT_MS)
     if (result.kind === 'answered') this.#up(statusIn(result.body))
-    else if (result.reason === Reason.ConnectFailed && !result.poolBusy) this.#down()
-    else this.#silent()
+    else if (!result.poolBusy) this.#unanswered(result.reason)
   }
 
   #up (status: BackendStatus): void {
@@ -108,7 +124,13 @@
     this.#options.onStatus(BackendStatus.Down)
   }
 
-  #silent (): void {
+  #unanswered (reason: Reason): void {
+    if (reason === Reason.ConnectFailed) {
+      this.#down()
+      return
+    }
+    // The probe met an old connection that was just lost; only a new one shows whether the backend server lives.
+    if (reason === Reason.ConnectionLost || reason === Reason.AnswerTruncated) this.#probeEarly()
     this.#silentProbesCount += 1
     if (this.#silentProbesCount < SILENT_PROBES_TO_DOWN_COUNT) return
     this.#isUp = false
--- a/src/node/callServer.spec.ts
+++ b/src/node/callServer.spec.ts
@@ -70,7 +70,7 @@
   })
 
   test('too many connections', async () => {
-    await world.start(1, {}, 2)
+    await world.start(1, {}, { connectionsMax: 2 })
     await besideOpenCall(async () => {
       const second = openRaw(world.nodes[0]!, HEAD)
       await until(() => !second.socket.connecting)
--- /dev/null
+++ b/src/node/nodeShell.spec.ts
@@ -0,0 +1,204 @@
+import { once } from 'node:events'
+import type { ServerResponse } from 'node:http'
+import { call, NodeWorld, SERVICE } from '../testing/nodeWorld.js'
+import type { TestAnswer } from '../testing/nodeWorld.js'
+import { until } from '../testing/valueServer.js'
+
+const BACKEND_IP = '127.0.0.2'
+const PATH = `/${SERVICE}/stock`
+const EARLY_PROBE_MS = 100
+
+const world = new NodeWorld()
+
+afterEach(async () => { await world.stop() })
+
+interface HeldCall {
+  readonly answer: Promise<TestAnswer>
+  readonly callId: string
+  readonly response: ServerResponse
+}
+
+/** Sends a call to a node and holds it at a backend server. */
+async function hold (nodeIndex = 0, backendIndex = 0, signal?: AbortSignal): Promise<HeldCall> {
+  const backend = world.backends[backendIndex]!
+  const before = backend.onCall
+  let held: ServerResponse | undefined
+  backend.onCall = (_request, response) => { held = response }
+  const answer = call(world.nodes[nodeIndex]!, { signal })
+  answer.catch(() => {})
+  await until(() => held !== undefined)
+  backend.onCall = before
+  return { answer, callId: String(backend.seen.at(-1)?.['ragwortspur-call']), response: held! }
+}
+
+async function untilStatus (status: number): Promise<TestAnswer> {
+  for (;;) {
+    const answer = await call(world.nodes[0]!)
+    if (answer.status === status) return answer
+    world.clock.advanceMs(EARLY_PROBE_MS)
+    await new Promise(resolve => { setTimeout(resolve, 5) })
+  }
+}
+
+describe('the backend server', () => {
+  test('sees its call cancelled when the caller goes away, and the node goes on', async () => {
+    await world.start(1)
+    const leave = new AbortController()
+    const held = await hold(0, 0, leave.signal)
+    const cancelled = once(held.response, 'close')
+    leave.abort()
+    await cancelled
+    expect(held.response.writableFinished).toBe(false)
+    await until(() => world.records.some(line => line.includes(`call=${held.callId}`)))
+    expect(world.records.find(line => line.includes(`call=${held.callId}`))).toContain('outcome=cancelled')
+    expect((await call(world.nodes[0]!)).status).toBe(200)
+  })
+
+  test('that does not answer in time gives answer_timeout, and its late answer goes to nobody', async () => {
+    await world.start(1)
+    const backend = world.backends[0]!
+    let late: ServerResponse | undefined
+    backend.onCall = (_request, response) => { late = response }
+    const headers = { 'ragwortspur-deadline-ms': '300' }
+    expect(await call(world.nodes[0]!, { headers })).toMatchObject({ status: 504, reason: 'answer_timeout' })
+    backend.onCall = (_request, response) => { response.end('next') }
+    late!.end('late')
+    expect((await call(world.nodes[0]!)).text).toBe('next')
+  })
+
+  test.each<[string, (response: ServerResponse) => void, number, string, string]>([
+    ['crossed', response => { response.setHeader('ragwortspur-call', 'other').end('other') }, 502, 'answer_crossed', 'unknown'],
+    ['cut short', response => {
+      response.writeHead(200, { 'content-length': 10 }).write('half', () => { response.destroy() })
+    }, 502, 'answer_truncated', 'unknown'],
+    ['lost', response => { response.destroy() }, 502, 'connection_lost', 'unknown'],
+    ['above the bound', response => { response.end(Buffer.alloc(1_100_000)) }, 502, 'body_too_large', 'unknown'],
+    ['shed', response => {
+      response.writeHead(503, { 'ragwortspur-backend-status': 'shed' }).end()
+    }, 503, 'backend_shed', 'not_run']
+  ])('whose answer is %s', async (_name, answer, status, reason, outcome) => {
+    await world.start(1)
+    world.backends[0]!.onCall = (_request, response) => answer(response)
+    const got = await call(world.nodes[0]!)
+    expect(got).toMatchObject({ status, reason })
+    expect(got.headers['ragwortspur-outcome']).toBe(outcome)
+  })
+
+  test('is not taken for dead when all connections that the node may open are in use', async () => {
+    await world.start(1, {}, { backendConnectionsMax: 1 })
+    const held = await hold()
+    const headers = { 'ragwortspur-deadline-ms': '300' }
+    const refused = await call(world.nodes[0]!, { headers })
+    expect(refused).toMatchObject({ status: 503, reason: 'too_many_connections' })
+    held.response.end('held')
+    expect((await held.answer).text).toBe('held')
+    expect((await call(world.nodes[0]!)).status).toBe(200)
+  })
+
+  test('that drains gets no new work, finishes what it has, and gets work again when it is ready', async () => {
+    await world.start(1)
+    const held = await hold()
+    const backend = world.backends[0]!
+    backend.onCall = (_request, response) => { response.setHeader('ragwortspur-backend-status', 'draining').end() }
+    backend.health = 'draining'
+    await call(world.nodes[0]!)
+    const seenCount = backend.seen.length
+    expect(await call(world.nodes[0]!)).toMatchObject({ status: 503, reason: 'draining' })
+    expect(backend.seen).toHaveLength(seenCount)
+    held.response.end('finished')
+    expect((await held.answer).text).toBe('finished')
+    backend.onCall = (_request, response) => { response.end('back') }
+    backend.health = 'ready'
+    world.clock.advanceMs(600)
+    expect((await untilStatus(200)).text).toBe('back')
+  })
+
+  test('that dies loses its calls as unknown, refuses truthfully, and serves again when it is back', async () => {
+    await world.start(1)
+    const held = await hold()
+    world.clock.advanceMs(EARLY_PROBE_MS)
+    await world.backends[0]!.kill()
+    expect(await held.answer).toMatchObject({ status: 502, reason: 'connection_lost' })
+    await untilStatus(503)
+    expect(await call(world.nodes[0]!)).toMatchObject({ status: 503, reason: 'backend_down' })
+    await world.backends[0]!.start()
+    expect((await untilStatus(200)).text).toBe('whole')
+  })
+
+  test('that a request kills twice does not get that request again', async () => {
+    await world.start(1)
+    const backend = world.backends[0]!
+    const poison = { method: 'POST', path: PATH, body: 'poison' }
+    for (let crash = 0; crash < 2; crash++) {
+      backend.onCall = () => { void backend.kill() }
+      world.clock.advanceMs(EARLY_PROBE_MS)
+      expect(await call(world.nodes[0]!, poison)).toMatchObject({ status: 502, reason: 'connection_lost' })
+      backend.onCall = (_request, response) => { response.end('whole') }
+      await untilStatus(503)
+      await backend.start()
+      await untilStatus(200)
+    }
+    expect(await call(world.nodes[0]!, poison)).toMatchObject({ status: 503, reason: 'quarantined' })
+    expect((await call(world.nodes[0]!, { ...poison, body: 'other' })).status).toBe(200)
+  })
+})
+
+describe('a planned stop', () => {
+  test('cuts no call in flight, refuses new ones, and lets sub-calls of calls in flight pass', async () => {
+    await world.start(1)
+    const node = world.nodes[0]!
+    const held = await hold()
+    const keptOpen = await hold()
+    const stopped = node.stop()
+    expect(await call(node)).toMatchObject({ status: 503, reason: 'draining' })
+    const subCall = { from: BACKEND_IP, headers: { 'ragwortspur-call': held.callId } }
+    expect((await call(node, subCall)).status).toBe(200)
+    const orphan = { from: BACKEND_IP, headers: { 'ragwortspur-call': 'of-no-open-call' } }
+    expect(await call(node, orphan)).toMatchObject({ status: 503, reason: 'draining' })
+    held.response.end('first')
+    expect(await held.answer).toMatchObject({ status: 200, text: 'first' })
+    keptOpen.response.end('second')
+    expect(await keptOpen.answer).toMatchObject({ status: 200, text: 'second' })
+    await stopped
+  })
+})
+
+describe('nodes among each other', () => {
+  test('a call that the own backend server cannot take is forwarded, with one record for each role', async () => {
+    await world.start(2)
+    await world.backends[0]!.kill()
+    world.backends[1]!.onCall = (_request, response) => { response.setHeader('set-cookie', ['a=1', 'b=2']).end('by 1') }
+    const answer = await untilStatus(200)
+    expect([answer.text, answer.headers['set-cookie']]).toEqual(['by 1', ['a=1', 'b=2']])
+    const callId = String(world.backends[1]!.seen.at(-1)?.['ragwortspur-call'])
+    const lines = world.records.filter(line => line.includes(`call=${callId}`)).join('\n')
+    expect(lines).toContain('role=executor')
+    expect(lines).toContain('role=entry')
+    await world.backends[0]!.start()
+  })
+
+  test('headers between nodes are not trusted from somebody who is no listed peer', async () => {
+    await world.start(1)
+    const forged = {
+      'ragwortspur-from-node': 'vm-9', 'ragwortspur-call': 'chosen', 'ragwortspur-level': '0', 'ragwortspur-retry-loan': '9'
+    }
+    expect((await call(world.nodes[0]!, { headers: forged })).status).toBe(200)
+    const seen = world.backends[0]!.seen.at(-1)!
+    expect(seen['ragwortspur-call']).not.toBe('chosen')
+    expect(seen['ragwortspur-level']).toBeUndefined()
+    expect(seen['ragwortspur-retry-loan']).toBeUndefined()
+    const vital = { ...forged, 'ragwortspur-importance': 'vital' }
+    expect((await call(world.nodes[0]!, { headers: vital })).reason).toBe('importance_not_allowed')
+    const listedIdElsewhere = { ...vital, 'ragwortspur-from-node': 'vm-0' }
+    const answer = await call(world.nodes[0]!, { from: '127.0.0.3', headers: listedIdElsewhere })
+    expect(answer.reason).toBe('importance_not_allowed')
+  })
+
+  test('a sub-call of a call that has ended gets parent_ended', async () => {
+    await world.start(1)
+    await call(world.nodes[0]!)
+    const callId = String(world.backends[0]!.seen.at(-1)?.['ragwortspur-call'])
+    const answer = await call(world.nodes[0]!, { from: BACKEND_IP, headers: { 'ragwortspur-call': callId } })
+    expect(answer).toMatchObject({ status: 504, reason: 'parent_ended' })
+  })
+})
--- a/src/node/nodeShell.ts
+++ b/src/node/nodeShell.ts
@@ -62,6 +62,7 @@
   readonly #records: RecordSink
   readonly #senders: SenderView
   #tickTimer: NodeJS.Timeout | null = null
+  #stopped: Promise<void> | null = null
   #ready = false
   #onStopped: () => void = () => {}
 
@@ -120,8 +121,13 @@
     return commands
   }
 
-  /** Refuses new calls, waits for open ones, then closes all sockets. */
-  async stop (): Promise<void> {
+  /** Refuses new calls, waits for open ones, then closes all sockets. Further calls wait for the same end. */
+  stop (): Promise<void> {
+    this.#stopped ??= this.#stop()
+    return this.#stopped
+  }
+
+  async #stop (): Promise<void> {
     log.info({ event: 'node_stopping', open_calls_count: this.#calls.openCount })
     await new Promise<void>(resolve => {
       const timer = setTimeout(resolve, this.#settings.stopTimeoutMs)
--- a/src/testing/nodeWorld.ts
+++ b/src/testing/nodeWorld.ts
@@ -7,6 +7,7 @@
 import { log } from '../log/log.js'
 import type { CallServerTimes } from '../node/callServer.js'
 import { NodeShell } from '../node/nodeShell.js'
+import type { NodeSettings } from '../node/nodeSettings.js'
 import { startValueServer, until } from './valueServer.js'
 import type { ValueServer } from './valueServer.js'
 
@@ -83,6 +84,8 @@
   }
 }
 
+type Bounds = Partial<Pick<NodeSettings, 'connectionsMax' | 'backendConnectionsMax'>>
+
 /** Nodes, each with a backend server, with real sockets on loopback and a clock that stands still. */
 export class NodeWorld {
   readonly clock = new ManualClock(1_000)
@@ -92,10 +95,10 @@
   #platform: ValueServer | null = null
 
   /** Starts a node for each backend server and waits until all are ready. */
-  async start (nodesCount: number, times: Partial<CallServerTimes> = {}, connectionsMax = 100): Promise<void> {
+  async start (nodesCount: number, times: Partial<CallServerTimes> = {}, bounds: Bounds = {}): Promise<void> {
     log.level = 'silent'
     this.#platform = await startValueServer({ path: '/v1/values/', valueOf: () => undefined })
-    for (let index = 0; index < nodesCount; index++) await this.#startNode(index, times, connectionsMax)
+    for (let index = 0; index < nodesCount; index++) await this.#startNode(index, times, bounds)
     this.publish()
     for (const node of this.nodes) await this.#awaitService(node)
   }
@@ -124,7 +127,7 @@
     for (const node of this.nodes) for (const value of values) node.emit({ kind: 'value_received', value })
   }
 
-  async #startNode (index: number, times: Partial<CallServerTimes>, connectionsMax: number): Promise<void> {
+  async #startNode (index: number, times: Partial<CallServerTimes>, bounds: Bounds): Promise<void> {
     const backend = new TestBackend()
     await backend.start()
     this.backends.push(backend)
@@ -139,9 +142,10 @@
       platformAddress: `127.0.0.1:${this.#platform?.port ?? 0}`,
       peers: [],
       control: 'on',
-      connectionsMax,
+      connectionsMax: 100,
       backendConnectionsMax: 50,
-      stopTimeoutMs: 30_000
+      stopTimeoutMs: 30_000,
+      ...bounds
     }, {
       clock: this.clock,
       times,
