Add ragwortspur-report

Ruled out: a window of sequence numbers against out-of-order lines, since files may be given in any order; sets of root ids for distinct requests, whose memory grows with the calls; calls per minute for each caller, which would be 43,200 counts per caller and service in a month. Change: the program streams plain or gzip files into counts per caller, service and importance. Distinct root requests are exact up to 20,000 per caller, then a HyperLogLog estimate that the report marks as such. Settings learn flags without a value.

--- /dev/null
+++ b/src/report/buildReport.ts
@@ -0,0 +1,159 @@
+import { DEFAULT_CALLER_NAME } from '../core/documents/documentsSchema.js'
+import type { ServiceDocument } from '../core/documents/documentsTypes.js'
+import { importanceRank, type Tenant } from '../core/coreTypes.js'
+import type { SourceEnd } from './lineSource.js'
+import type { ReportTally, Series } from './reportTally.js'
+import type {
+  CallerTimes, Completeness, MinuteCounts, RefusalRow, Report, SeenRow, SendsRow, ServedRow, UsageRow
+} from './reportTypes.js'
+import { readTimes } from './timeHistogram.js'
+
+const MINUTE_MS = 60_000
+
+function byText<T> (textOf: (row: T) => string): (a: T, b: T) => number {
+  return (a, b) => textOf(a) < textOf(b) ? -1 : 1
+}
+
+function seriesKey ({ callerName, serviceName, importance }: Series): string {
+  return `${callerName}\n${serviceName}\n${importanceRank(importance)}`
+}
+
+function grouped<T> (rows: Iterable<T>, keyOf: (row: T) => string): Map<string, T[]> {
+  const groups = new Map<string, T[]>()
+  for (const row of rows) {
+    const group = groups.get(keyOf(row))
+    if (group === undefined) groups.set(keyOf(row), [row])
+    else group.push(row)
+  }
+  return groups
+}
+
+function promiseOf (document: ServiceDocument | undefined, callerName: string): number | null {
+  // Nodes record callers without own terms under this one name; a name that only an older document has got no promise.
+  if (callerName === DEFAULT_CALLER_NAME) return document?.defaultCaller.promisedCallsPerS ?? null
+  return document?.callers.find(caller => caller.name === callerName)?.promisedCallsPerS ?? null
+}
+
+function usageRow (
+  { callerName, serviceName }: Tenant, document: ServiceDocument | undefined, group: readonly Series[], periodS: number
+): UsageRow {
+  const takenCount = group.reduce((sum, { used }) => sum + used.done + used.unknown + used.cancelled, 0)
+  const withinPromiseCount = group.reduce((sum, one) => sum + one.takenWithinCount, 0)
+  const promisedCallsPerS = promiseOf(document, callerName)
+  const takenCallsPerS = periodS > 0 ? takenCount / periodS : 0
+  return {
+    callerName,
+    serviceName,
+    promisedCallsPerS,
+    documentVersion: document?.version ?? null,
+    takenCount,
+    withinPromiseCount,
+    abovePromiseCount: takenCount - withinPromiseCount,
+    takenCallsPerS,
+    takenOfPromiseRatio: promisedCallsPerS === null || promisedCallsPerS === 0
+      ? null
+      : takenCallsPerS / promisedCallsPerS
+  }
+}
+
+function isSeries (tenant: Tenant): tenant is Series {
+  return 'seen' in tenant
+}
+
+/** Pairs of caller and service that were promised something or took something. */
+function usageRows (series: readonly Series[], documents: readonly ServiceDocument[], periodS: number): UsageRow[] {
+  const tenants: Tenant[] = [...series]
+  for (const { serviceName, callers } of documents) {
+    tenants.push(...callers.map(caller => ({ callerName: caller.name, serviceName })))
+  }
+  const groups = grouped(tenants, tenant => `${tenant.callerName}\n${tenant.serviceName}`)
+  const byService = new Map(documents.map(document => [document.serviceName, document]))
+  return [...groups].sort(byText(([key]) => key)).flatMap(([, [tenant, ...rest]]) => tenant === undefined
+    ? []
+    : [usageRow(tenant, byService.get(tenant.serviceName), [tenant, ...rest].filter(isSeries), periodS)])
+}
+
+function seenRows (series: readonly Series[]): SeenRow[] {
+  return series.filter(({ seen }) => Object.values(seen).some(count => count > 0))
+    .map(({ callerName, serviceName, importance, seen, total }) => (
+      { callerName, serviceName, importance, counts: seen, total: readTimes([total]) }))
+}
+
+function servedRows (series: readonly Series[]): ServedRow[] {
+  return series.filter(({ served }) => served !== undefined)
+    .map(({ callerName, serviceName, importance, served }) => (
+      { callerName, serviceName, importance, served: readTimes([served]) }))
+}
+
+function refusalRows (tally: ReportTally): RefusalRow[] {
+  return [...tally.refusals.values()].sort((a, b) => b.count - a.count || byText<RefusalRow>(row =>
+    `${row.callerName}\n${row.serviceName}\n${row.importance}\n${row.reason}\n${row.limitedBy}`)(a, b))
+}
+
+function sendsRows (tally: ReportTally): SendsRow[] {
+  return [...tally.sends].sort(byText(([name]) => name)).map(([callerName, { sendsCount, roots }]) => {
+    // An estimate may exceed the sends, which a count cannot.
+    const rootsCount = Math.min(sendsCount, roots.count())
+    return { callerName, sendsCount, rootsCount, isEstimate: roots.isEstimate }
+  })
+}
+
+function callerRows (series: readonly Series[]): CallerTimes[] {
+  return [...grouped(series, one => one.callerName)]
+    .map(([callerName, group]) => ({ callerName, total: readTimes(group.map(one => one.total)) }))
+    .filter(row => row.total.count > 0)
+    .sort((a, b) => b.total.count - a.total.count || byText<CallerTimes>(row => row.callerName)(a, b))
+}
+
+function minuteRows (tally: ReportTally): MinuteCounts[] {
+  return [...tally.minutes].sort((a, b) => a[0] - b[0])
+    .map(([minute, counts]) => ({ minuteStartMs: minute * MINUTE_MS, counts }))
+}
+
+function completenessOf (tally: ReportTally, ends: readonly SourceEnd[]): Completeness {
+  const losses = tally.losses.losses()
+  const unreadFiles = ends.flatMap(({ name, error }) => error === null ? [] : [{ name, error }])
+  const tooLongCount = ends.reduce((sum, end) => sum + end.tooLongCount, 0)
+  const unnamedDamagedCount = tally.unnamedDamagedCount + tooLongCount
+  return {
+    linesCount: tally.linesCount,
+    recordsCount: tally.recordsCount,
+    otherLinesCount: tally.otherLinesCount,
+    repeatedLinesCount: tally.repeatedLinesCount,
+    repeatedRecordsCount: tally.repeatedRecordsCount,
+    incarnationsCount: tally.losses.incarnationsCount,
+    startsLaterCount: tally.losses.startsLaterCount,
+    losses,
+    unnamedDamagedCount,
+    unreadFiles,
+    overflowCount: tally.overflowCount,
+    isComplete: losses.length === 0 && unnamedDamagedCount === 0 && unreadFiles.length === 0
+  }
+}
+
+/**
+ * Builds the report from the counts. Promises come from the documents given; the
+ * period is from the first to the last arrival of a call.
+ *
+ * @example
+ * buildReport(tally, [], []).usage.length
+ */
+export function buildReport (
+  tally: ReportTally, documents: readonly ServiceDocument[], ends: readonly SourceEnd[]
+): Report {
+  const series = [...tally.series.values()].sort(byText(seriesKey))
+  const isEmpty = tally.recordsCount === 0
+  const periodS = isEmpty ? 0 : Math.max(1, (tally.untilWallMs - tally.fromWallMs) / 1000)
+  return {
+    fromWallMs: isEmpty ? null : tally.fromWallMs,
+    untilWallMs: isEmpty ? null : tally.untilWallMs,
+    usage: usageRows(series, documents, periodS),
+    seen: seenRows(series),
+    served: servedRows(series),
+    refusals: refusalRows(tally),
+    sends: sendsRows(tally),
+    callers: callerRows(series),
+    minutes: minuteRows(tally),
+    completeness: completenessOf(tally, ends)
+  }
+}
--- /dev/null
+++ b/src/report/distinctCounter.ts
@@ -0,0 +1,71 @@
+import { hash32 } from '../core/hash.js'
+
+/** Counted exactly up to here, which covers small callers and bounds a set to some 1 MB. */
+const EXACT_MAX_COUNT = 20_000
+/** 16,384 registers give a standard error of 0.8%. */
+const INDEX_BITS = 14
+const REGISTERS_COUNT = 1 << INDEX_BITS
+const RANK_MAX = 33
+const SECOND_SEED = 0x5bd1e995
+
+/**
+ * Counts distinct texts: exactly at first, then by a HyperLogLog estimate of
+ * constant size.
+ *
+ * @example
+ * const counter = new DistinctCounter()
+ * counter.add('root-1'); counter.add('root-1')
+ * counter.count() // 1
+ */
+export class DistinctCounter {
+  #exact: Set<number> | undefined = new Set()
+  readonly #exactMaxCount: number
+  #registers: Uint8Array | undefined
+
+  constructor (exactMaxCount = EXACT_MAX_COUNT) {
+    this.#exactMaxCount = exactMaxCount
+  }
+
+  get isEstimate (): boolean {
+    return this.#exact === undefined
+  }
+
+  add (text: string): void {
+    const index = hash32(text) >>> (32 - INDEX_BITS)
+    const rest = hash32(text, SECOND_SEED)
+    if (this.#exact === undefined) {
+      this.#note(index, rest)
+      return
+    }
+    // 46 of the hashes' bits: two of 20,000 texts fall together once in some 350,000 counts.
+    this.#exact.add(index * 2 ** 32 + rest)
+    if (this.#exact.size > this.#exactMaxCount) this.#switchToEstimate()
+  }
+
+  count (): number {
+    return this.#exact === undefined ? Math.round(this.#estimate()) : this.#exact.size
+  }
+
+  #switchToEstimate (): void {
+    this.#registers = new Uint8Array(REGISTERS_COUNT)
+    for (const both of this.#exact ?? []) this.#note(Math.floor(both / 2 ** 32), both % 2 ** 32)
+    this.#exact = undefined
+  }
+
+  #note (index: number, rest: number): void {
+    const rank = Math.min(RANK_MAX, Math.clz32(rest) + 1)
+    if (this.#registers !== undefined && (this.#registers[index] ?? 0) < rank) this.#registers[index] = rank
+  }
+
+  #estimate (): number {
+    let sum = 0
+    let zerosCount = 0
+    for (const rank of this.#registers ?? []) {
+      sum += 2 ** -rank
+      if (rank === 0) zerosCount += 1
+    }
+    const raw = 0.7213 / (1 + 1.079 / REGISTERS_COUNT) * REGISTERS_COUNT ** 2 / sum
+    const isSmall = raw <= 2.5 * REGISTERS_COUNT && zerosCount > 0
+    return isSmall ? REGISTERS_COUNT * Math.log(REGISTERS_COUNT / zerosCount) : raw
+  }
+}
--- /dev/null
+++ b/src/report/recordText.ts
@@ -0,0 +1,173 @@
+import { Importance, Outcome } from '../core/coreTypes.js'
+import { RecordRole } from '../core/ledger/ledgerTypes.js'
+
+/** Fields of a record line that a report needs. */
+export interface ReadRecord {
+  readonly node: string
+  readonly incarnation: string
+  readonly sequence: number
+  /** False for a second record of a call, which takes a sequence number but does not count. */
+  readonly counts: boolean
+  readonly role: RecordRole
+  readonly callerName: string
+  readonly serviceName: string
+  readonly importance: Importance
+  readonly withinPromise: boolean
+  readonly outcome: Outcome
+  readonly reason: string
+  readonly limitedBy: string
+  readonly rootId: string
+  readonly parentId: string
+  readonly arrivedAtWallMs: number
+  readonly queuedMs: number
+  readonly servedMs: number
+  readonly totalMs: number
+}
+
+/** What a line of a collected log is. */
+export type ReadLine =
+  | { readonly kind: 'record', readonly record: ReadRecord }
+  | { readonly kind: 'other' }
+  /** A record line that is cut or garbled; what is left of its identity, if anything. */
+  | { readonly kind: 'damaged', readonly node?: string, readonly incarnation?: string, readonly sequence?: number }
+
+type Values = Array<string | undefined>
+
+const RECORD_EVENTS = new Set(['call_record', 'call_record_repeated'])
+const RECORD_START = 'event=call_record'
+/** Start of the identity in a record line, also when the line's own start is lost. */
+const IDENTITY = /(?:^|[ =])seq=(\d{1,15}) node=("(?:[^"\\]|\\.)*"|[^ "]+) incarnation=("(?:[^"\\]|\\.)*"|[^ "]+) /
+const ROLES: ReadonlySet<string> = new Set(Object.values(RecordRole))
+const IMPORTANCES: ReadonlySet<string> = new Set(Object.values(Importance))
+const OUTCOMES: ReadonlySet<string> = new Set(Object.values(Outcome))
+const NUMBER = /^-?\d+(\.\d+)?(e[+-]?\d+)?$/
+/** Fields of a record in the order in which nodes write them. */
+const FIELDS = [
+  'event', 'seq', 'node', 'incarnation', 'role', 'caller', 'service', 'route', 'importance', 'within_promise',
+  'document_version', 'outcome', 'reason', 'limited_by', 'root', 'call', 'parent', 'attempt', 'retries_count',
+  'arrived_at_wall_ms', 'queued_ms', 'served_ms', 'total_ms'
+] as const
+type FieldName = typeof FIELDS[number]
+const FIELD_STARTS = FIELDS.map(name => `${name}=`)
+const INDEX_OF_FIELD: ReadonlyMap<string, number> = new Map(FIELDS.map((name, index) => [name, index]))
+const NUMBER_INDEXES = (['arrived_at_wall_ms', 'queued_ms', 'served_ms', 'total_ms'] as const).map(indexOf)
+const QUOTE = 34
+const BACKSLASH = 92
+const SPACE = 32
+
+function indexOf (name: FieldName): number {
+  return INDEX_OF_FIELD.get(name) ?? -1
+}
+
+function quotedEnd (line: string, start: number): number {
+  for (let at = start + 1; at < line.length; at += 1) {
+    const code = line.charCodeAt(at)
+    if (code === BACKSLASH) at += 1
+    else if (code === QUOTE) return at + 1
+  }
+  return -1
+}
+
+function unquoted (text: string): string | undefined {
+  try {
+    return JSON.parse(text) as string
+  } catch {
+    return undefined
+  }
+}
+
+/**
+ * Splits a line into the values of its fields, in the order of `FIELDS`; undefined
+ * when it is not a sequence of key=value pairs. Nodes write the fields in that
+ * order, so the name expected next is tried first; other orders and further
+ * fields are read too.
+ */
+function valuesOf (line: string): Values | undefined {
+  const values: Values = new Array<string | undefined>(FIELDS.length).fill(undefined)
+  for (let at = 0, next = 0; at < line.length; next += 1) {
+    const start = FIELD_STARTS[next]
+    const isExpected = start !== undefined && line.startsWith(start, at)
+    const equals = isExpected ? at + start.length - 1 : line.indexOf('=', at)
+    if (equals <= at) return undefined
+    const end = valueEnd(line, equals + 1)
+    if (end === -1 || (end < line.length && line.charCodeAt(end) !== SPACE)) return undefined
+    if (!isExpected) {
+      const name = line.slice(at, equals)
+      if (name.includes(' ')) return undefined
+      next = INDEX_OF_FIELD.get(name) ?? FIELDS.length
+    }
+    const value = textOf(line, equals + 1, end)
+    // A repeated field means that two lines ran into each other.
+    if (value === undefined || values[next] !== undefined) return undefined
+    if (next < FIELDS.length) values[next] = value
+    at = end + 1
+  }
+  return values
+}
+
+function valueEnd (line: string, start: number): number {
+  if (line.charCodeAt(start) === QUOTE) return quotedEnd(line, start)
+  const space = line.indexOf(' ', start)
+  return space === -1 ? line.length : space
+}
+
+function textOf (line: string, start: number, end: number): string | undefined {
+  const text = line.slice(start, end)
+  return line.charCodeAt(start) === QUOTE ? unquoted(text) : text
+}
+
+function isWhole (values: Values): boolean {
+  const at = (name: FieldName): string => values[indexOf(name)] ?? ''
+  return values.every(value => value !== undefined) && RECORD_EVENTS.has(at('event')) &&
+    /^\d{1,15}$/.test(at('seq')) && NUMBER_INDEXES.every(index => NUMBER.test(values[index] ?? '')) &&
+    ROLES.has(at('role')) && IMPORTANCES.has(at('importance')) && OUTCOMES.has(at('outcome'))
+}
+
+function recordOf (values: Values): ReadRecord {
+  const text = (name: FieldName): string => values[indexOf(name)] ?? ''
+  return {
+    node: text('node'),
+    incarnation: text('incarnation'),
+    sequence: Number(text('seq')),
+    counts: text('event') === 'call_record',
+    role: text('role') as RecordRole,
+    callerName: text('caller'),
+    serviceName: text('service'),
+    importance: text('importance') as Importance,
+    withinPromise: text('within_promise') === 'true',
+    outcome: text('outcome') as Outcome,
+    reason: text('reason'),
+    limitedBy: text('limited_by'),
+    rootId: text('root'),
+    parentId: text('parent'),
+    arrivedAtWallMs: Number(text('arrived_at_wall_ms')),
+    queuedMs: Number(text('queued_ms')),
+    servedMs: Number(text('served_ms')),
+    totalMs: Number(text('total_ms'))
+  }
+}
+
+function damaged (line: string): ReadLine {
+  const match = IDENTITY.exec(line)
+  if (match === null) return { kind: 'damaged' }
+  const plain = (text: string): string => text.startsWith('"') ? unquoted(text) ?? text : text
+  return {
+    kind: 'damaged', sequence: Number(match[1]), node: plain(match[2] ?? ''), incarnation: plain(match[3] ?? '')
+  }
+}
+
+/**
+ * Reads one line of a collected log. A cut that leaves the last number of a line
+ * shorter but whole cannot be seen here; the missing line end tells it.
+ *
+ * @example
+ * readRecordLine('event=node_ready node=vm-1') // { kind: 'other' }
+ */
+export function readRecordLine (line: string): ReadLine {
+  if (!line.startsWith(RECORD_START)) {
+    // The end of a line that lost its start, or one that ran into a line of another event.
+    return line.includes('incarnation=') && IDENTITY.test(line) ? damaged(line) : { kind: 'other' }
+  }
+  const values = valuesOf(line)
+  return values !== undefined && isWhole(values) ? { kind: 'record', record: recordOf(values) } : damaged(line)
+}
--- /dev/null
+++ b/src/report/sequenceRanges.ts
@@ -0,0 +1,122 @@
+/** Whole numbers from `first` to `last`, both included. */
+export interface SequenceRange {
+  readonly first: number
+  readonly last: number
+}
+
+/** What a sequence number means that has just been read. */
+export enum SequenceNews {
+  New = 'new',
+  /** Read before. */
+  Repeated = 'repeated',
+  /** Below the oldest gap that is still held open, so it cannot be told whether it was read before. */
+  TooLate = 'too_late'
+}
+
+/** A gap stays open until this many newer ones exist, which bounds the memory of one incarnation. */
+const OPEN_RANGES_CAPACITY_COUNT = 1_024
+
+interface OpenRange { first: number, last: number }
+
+/**
+ * The sequence numbers read of one incarnation, as sorted ranges. Lines in any
+ * order fill their gaps, and a repeated line is found however far it is from the
+ * first one, unless more than the capacity of gaps lies between.
+ *
+ * @example
+ * const ranges = new SequenceRanges()
+ * ranges.add(1); ranges.add(3)
+ * ranges.gaps() // [{ first: 2, last: 2 }]
+ */
+export class SequenceRanges {
+  readonly #capacityCount: number
+  readonly #ranges: OpenRange[] = []
+  readonly #closedGaps: SequenceRange[] = []
+  /** End of the region whose gaps are closed; 0 while none is. */
+  #closedUntil = 0
+
+  constructor (capacityCount = OPEN_RANGES_CAPACITY_COUNT) {
+    this.#capacityCount = capacityCount
+  }
+
+  get first (): number {
+    return this.#ranges[0]?.first ?? 0
+  }
+
+  add (sequence: number): SequenceNews {
+    const last = this.#ranges.at(-1)
+    if (last !== undefined && sequence === last.last + 1) {
+      last.last = sequence
+      return SequenceNews.New
+    }
+    const index = this.#indexFor(sequence)
+    const before = this.#ranges[index - 1]
+    if (before !== undefined && sequence <= before.last) {
+      return sequence > this.#closedUntil ? SequenceNews.Repeated : SequenceNews.TooLate
+    }
+    if (before === undefined && sequence <= this.#closedUntil) return SequenceNews.TooLate
+    this.#insert(index, sequence)
+    if (this.#ranges.length > this.#capacityCount) this.#closeOldestGap()
+    return SequenceNews.New
+  }
+
+  has (sequence: number): boolean {
+    const before = this.#ranges[this.#indexFor(sequence) - 1]
+    return before !== undefined && sequence <= before.last && !this.#closedGaps.some(
+      gap => gap.first <= sequence && sequence <= gap.last)
+  }
+
+  /** The ranges read; gaps that are closed count as read here. */
+  all (): readonly SequenceRange[] {
+    return this.#ranges
+  }
+
+  /** Numbers between the lowest and the highest one read that were not read. */
+  gaps (): SequenceRange[] {
+    const open = this.#ranges.slice(1).map((range, index) => (
+      { first: (this.#ranges[index]?.last ?? 0) + 1, last: range.first - 1 }))
+    return [...this.#closedGaps, ...open]
+  }
+
+  /** Index of the first range that starts after the number. */
+  #indexFor (sequence: number): number {
+    let low = 0
+    let high = this.#ranges.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if ((this.#ranges[middle]?.first ?? 0) <= sequence) low = middle + 1
+      else high = middle
+    }
+    return low
+  }
+
+  #insert (index: number, sequence: number): void {
+    const before = this.#ranges[index - 1]
+    const after = this.#ranges[index]
+    const touchesBefore = before?.last === sequence - 1
+    const touchesAfter = after?.first === sequence + 1
+    if (touchesBefore && touchesAfter) {
+      before!.last = after!.last
+      this.#ranges.splice(index, 1)
+    } else if (touchesBefore) before!.last = sequence
+    else if (touchesAfter) after!.first = sequence
+    else this.#ranges.splice(index, 0, { first: sequence, last: sequence })
+  }
+
+  /** Joins the two lowest ranges; the gap between them is final. */
+  #closeOldestGap (): void {
+    const [lowest, next] = this.#ranges
+    if (lowest === undefined || next === undefined) return
+    this.#noteClosed({ first: lowest.last + 1, last: next.first - 1 })
+    this.#closedUntil = next.first - 1
+    lowest.last = next.last
+    this.#ranges.splice(1, 1)
+  }
+
+  /** Beyond the capacity, joins the newest closed gap with the next one: names too much rather than too little. */
+  #noteClosed (gap: SequenceRange): void {
+    const newest = this.#closedGaps.at(-1)
+    if (newest === undefined || this.#closedGaps.length < this.#capacityCount) this.#closedGaps.push(gap)
+    else this.#closedGaps[this.#closedGaps.length - 1] = { first: newest.first, last: gap.last }
+  }
+}
--- a/src/settings/settings.spec.ts
+++ b/src/settings/settings.spec.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import { helpText, readSettings } from './settings.js'
+import { helpText, readSettings, switchSetting } from './settings.js'
 
 const program = {
   program: 'ragwortspur-test',
@@ -26,6 +26,17 @@
     expect(readSettings(program, argv, env).swap().extract()).toMatchSnapshot()
   })
 
+  test('a switch takes no value, so that the argument after it stays an argument', () => {
+    const specs = { json: switchSetting('Print JSON') }
+    const withSwitch = { ...program, specs, operands: { name: 'FILE...', describe: 'Files' } }
+    const reads = [['--json', 'a.log', '-'], ['7'], ['--json=no']].map(argv => readSettings(withSwitch, argv, {}))
+    expect(reads.map(read => read.extract())).toEqual([
+      { settings: { json: true }, operands: ['a.log', '-'] },
+      { settings: { json: false }, operands: ['7'] },
+      { settings: { json: false }, operands: [] }
+    ])
+  })
+
   test('the help text names flag, default and variable', () => {
     expect(helpText(program)).toMatchSnapshot()
   })
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
 import { Either, Left, Right } from 'purify-ts'
 import yargs from 'yargs'
-import type { z } from 'zod'
+import { z } from 'zod'
 
 /** One setting: the flag `--some-name` and the variable `RAGWORTSPUR_SOME_NAME`. */
 export interface SettingSpec<T> {
@@ -12,6 +12,8 @@
   readonly default?: string
   /** What is allowed, for error messages and help. */
   readonly allowed: string
+  /** A flag without a value; its text is `true` when given. */
+  readonly isSwitch?: boolean
 }
 
 export type SettingSpecs = Readonly<Record<string, SettingSpec<unknown>>>
@@ -40,6 +42,22 @@
   readonly allowed: string
 }
 
+/**
+ * Setting of a flag without a value, off unless given.
+ *
+ * @example
+ * const specs = { json: switchSetting('Print JSON') }
+ */
+export function switchSetting (describe: string): SettingSpec<boolean> {
+  return {
+    describe,
+    schema: z.enum(['true', 'false']).transform(text => text === 'true') as unknown as z.ZodType<boolean>,
+    default: 'false',
+    allowed: 'true or false',
+    isSwitch: true
+  }
+}
+
 /** Exit code of a program that was started with wrong settings. */
 export const EXIT_WRONG_SETTINGS = 2
 
@@ -81,9 +99,11 @@
 export function readSettings<S extends SettingSpecs> (
   spec: ProgramSpec<S>, argv: readonly string[], env: Readonly<Record<string, string | undefined>>
 ): Either<SettingFault[], ProgramInput<S>> {
+  const switches = Object.entries(spec.specs).filter(([, one]) => one.isSwitch === true).map(([name]) => flagOf(name))
+  const texts = Object.keys(spec.specs).map(flagOf).filter(flag => !switches.includes(flag))
   const parsed = yargs([...argv]).help(false).version(false)
     .parserConfiguration({ 'camel-case-expansion': false, 'parse-numbers': false, 'boolean-negation': false })
-    .string(Object.keys(spec.specs).map(flagOf)).parseSync() as Record<string, unknown>
+    .string(texts).string('_').boolean(switches).parseSync() as Record<string, unknown>
   const operands = (parsed['_'] as unknown[]).map(String)
   const faults = unknownSettings(spec, parsed, env)
   if (spec.operands === undefined) {
