Give the test fleet the setting for left-out mechanisms

Ruled out: a default inside the shell, since settings have one place for defaults. Change: the test fleet names the setting.

--- a/src/testing/nodeWorld.ts
+++ b/src/testing/nodeWorld.ts
@@ -142,6 +142,7 @@
       platformAddress: `127.0.0.1:${this.#platform?.port ?? 0}`,
       peers: [],
       control: 'on',
+      without: [],
       connectionsMax: 100,
       backendConnectionsMax: 50,
       stopTimeoutMs: 30_000,
