Check drains by who announced them, stops for open calls, late resends

Cause: the drain check took a backend server for leaving until the fault that drained it ended. Ruled out: a node that ignores a drain in force; in each case the server's last report was not `draining`.

Change: the check notes the word of the platform and that of the server apart. Each can take back only its own, so a list that shows a VM as live no longer hides a drain of its server. The server's word is what it reported; a lying report ends with a true one. New check gracefulStop: a node that reports itself as stopped has no received call without an answer and no send without a result.

--- a/src/soak/soakBackend.ts
+++ b/src/soak/soakBackend.ts
@@ -87,7 +87,11 @@
 
   setStatus (status: BackendStatus): void {
     this.status = status
-    this.#fleet.nodeOf(this.#vmId)?.emit({ kind: 'backend_seen', status: this.reportedStatus ?? status })
+    const reported = this.reportedStatus ?? status
+    const { checks, world } = this.#fleet
+    if (reported === BackendStatus.Draining) checks.vmLeaves(this.#vmId, 'server', world.nowMs)
+    else checks.vmStays(this.#vmId, 'server')
+    this.#fleet.nodeOf(this.#vmId)?.emit({ kind: 'backend_seen', status: reported })
   }
 
   #serviceMs (): Millis {
--- a/src/soak/soakCaller.ts
+++ b/src/soak/soakCaller.ts
@@ -12,6 +12,10 @@
 /** A root request is forgotten by the checks when nothing of it can happen any more. */
 const FORGET_AFTER_MS: Millis = 400_000
 const KEYED_RATIO = 0.5
+/** Most resends come at once; a late one meets restarted nodes, newer lists and other owner nodes. */
+const LATE_RESEND_RATIO = 0.2
+const LATE_RESEND_MAX_MS: Millis = 30_000
+const RESEND_MAX_MS: Millis = 60
 
 interface Root {
   readonly rootId: string
@@ -106,7 +110,8 @@
     if (outcome === Outcome.Done) {
       this.outcomes.done += 1
     } else if (attempt <= RESENDS_MAX_COUNT) {
-      world.after(world.between(0, 60), () => this.#send(root, attempt + 1))
+      const delayMaxMs = world.chance(LATE_RESEND_RATIO) ? LATE_RESEND_MAX_MS : RESEND_MAX_MS
+      world.after(world.between(0, delayMaxMs), () => this.#send(root, attempt + 1))
     } else if (outcome === Outcome.NotRun) {
       this.outcomes.notRun += 1
     } else {
--- a/src/soak/soakChecks.ts
+++ b/src/soak/soakChecks.ts
@@ -13,6 +13,9 @@
 /** P6: a leaving backend server gets no new work later than this after the platform or the server said so. */
 const DRAIN_BOUND_MS: Millis = 3_000
 
+/** Who announced that a backend server leaves. */
+type LeaveSource = 'platform' | 'server'
+
 interface RootChecks {
   readonly sends: Set<string>
   readonly runs: BackendRun[]
@@ -29,7 +32,10 @@
   readonly #roots = new Map<string, RootChecks>()
   readonly #runsByKey = new Map<string, BackendRun[]>()
   readonly #versions = new Map<string, Map<string, readonly [number, number]>>()
-  readonly #leavingSince = new Map<string, Millis>()
+  readonly #leavingSince: Readonly<Record<LeaveSource, Map<string, Millis>>> = {
+    platform: new Map(), server: new Map()
+  }
+
   /** Until when some nodes could not hear the platform, or each other. */
   #unheardUntilMs: Millis = 0
   maxRetriesPerRoot = 0
@@ -73,7 +79,9 @@
     root.runs.push(run)
     if (run.idempotencyKey !== null) this.#checkKey(run)
     for (const claim of root.notRun) this.#checkClaim(root, claim, run)
-    const sinceMs = Math.max(this.#leavingSince.get(run.vmId) ?? Infinity, this.#unheardUntilMs)
+    const { platform, server } = this.#leavingSince
+    const announcedAtMs = Math.min(platform.get(run.vmId) ?? Infinity, server.get(run.vmId) ?? Infinity)
+    const sinceMs = Math.max(announcedAtMs, this.#unheardUntilMs)
     if (run.startedAtMs - sinceMs > DRAIN_BOUND_MS) {
       this.violation('drainStopsWork', `${run.vmId} got ${run.callId} ${run.startedAtMs - sinceMs} ms after it left`)
     }
@@ -96,8 +104,10 @@
     for (const run of root.runs) this.#checkClaim(root, claim, run)
   }
 
-  vmLeaves (vmId: string, sinceMs: Millis): void {
-    if (!this.#leavingSince.has(vmId)) this.#leavingSince.set(vmId, sinceMs)
+  /** The platform or the server announced that it leaves; each may take back only its own word. */
+  vmLeaves (vmId: string, source: LeaveSource, sinceMs: Millis): void {
+    const since = this.#leavingSince[source]
+    if (!since.has(vmId)) since.set(vmId, sinceMs)
   }
 
   /** A fault keeps the word of the platform from some nodes; the time for drains starts after it. */
@@ -105,8 +115,8 @@
     this.#unheardUntilMs = Math.max(this.#unheardUntilMs, untilMs)
   }
 
-  vmStays (vmId: string): void {
-    this.#leavingSince.delete(vmId)
+  vmStays (vmId: string, source: LeaveSource): void {
+    this.#leavingSince[source].delete(vmId)
   }
 
   /** A version in force at a running process never goes back. */
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -92,7 +92,10 @@
 function lieAboutHealth (fleet: SoakFleet, node: SoakNode, lastsMs: number): void {
   const backend = fleet.backendOf(node.entry.vmId)
   backend.reportedStatus = fleet.world.pick([BackendStatus.Warming, BackendStatus.Ready])
-  fleet.world.after(lastsMs, () => { backend.reportedStatus = null })
+  fleet.world.after(lastsMs, () => {
+    backend.reportedStatus = null
+    if (backend.status !== BackendStatus.Down) backend.setStatus(backend.status)
+  })
 }
 
 /** Two operators publish the same version with different contents. */
@@ -139,10 +142,8 @@
   const { vmId } = node.entry
   const backend = fleet.backendOf(vmId)
   backend.setStatus(BackendStatus.Draining)
-  fleet.checks.vmLeaves(vmId, fleet.world.nowMs)
   fleet.world.after(lastsMs, () => {
     if (backend.status !== BackendStatus.Draining) return
-    fleet.checks.vmStays(vmId)
     backend.setStatus(BackendStatus.Ready)
   })
 }
--- a/src/soak/soakFleet.ts
+++ b/src/soak/soakFleet.ts
@@ -115,8 +115,8 @@
     else this.#listed.set(vmId, { ...entry, state })
     this.world.after(this.listLagMs, () => {
       this.publishList(entry.dataCentre)
-      if (state === VmState.Leaving) this.checks.vmLeaves(vmId, this.world.nowMs)
-      else this.checks.vmStays(vmId)
+      if (state === VmState.Leaving) this.checks.vmLeaves(vmId, 'platform', this.world.nowMs)
+      else this.checks.vmStays(vmId, 'platform')
     })
   }
 
@@ -135,7 +135,9 @@
 
   /** A node has ended all calls of a planned stop. */
   nodeStopped (node: SoakNode): void {
-    if (node.isAlive && node.isStopping) this.loseVm(node)
+    if (!node.isAlive || !node.isStopping) return
+    if (node.openCount > 0) this.checks.violation('gracefulStop', `${node.entry.vmId} stops with ${node.openCount} open`)
+    this.loseVm(node)
   }
 
   publishDocument (serviceName: string, version = this.nextVersion(serviceName)): void {
--- a/src/soak/soakNode.ts
+++ b/src/soak/soakNode.ts
@@ -59,6 +59,11 @@
     return this.#fleet.world.nowMs < this.#pausedUntilMs
   }
 
+  /** Calls received and not answered, and sends without a result. */
+  get openCount (): number {
+    return this.#deliveries.size + this.#sends.size
+  }
+
   pause (forMs: Millis): void {
     this.#pausedUntilMs = Math.max(this.#pausedUntilMs, this.#fleet.world.nowMs + forMs)
     this.#fleet.world.after(forMs, () => this.#drainInbox())
