Add ragwortspur-status

Cause: an operator who rolls out a document has to see at which nodes it is in force; each node answers only for itself. Ruled out: comparing the remaining time of a quarantine, which differs between nodes by the way of the hint; a shared client with keep-alive, since each node is asked once. Change: the program asks operator endpoints, at most 32 at a time, and prints one line per node and what differs: documents by version and revision, rejected edits, leaving VMs, quarantined requests, nodes without an answer. A finding that all nodes share is no difference. An answer above 16 MB is given up.

--- /dev/null
+++ b/src/status/compareNodes.ts
@@ -0,0 +1,95 @@
+import type { AskedNode, NodeStatus } from './nodeStatus.js'
+
+/** What nodes are compared in. */
+export enum Topic {
+  Documents = 'documents',
+  RejectedEdits = 'rejected_edits',
+  LeavingVms = 'leaving_vms',
+  Quarantined = 'quarantined'
+}
+
+/** A finding and the nodes that have it. */
+export interface Finding {
+  readonly topic: Topic
+  /** What the finding is about, such as a service. */
+  readonly subject: string
+  readonly detail: string
+  readonly nodes: readonly string[]
+  /** Whether all nodes that answered have it. */
+  readonly isShared: boolean
+}
+
+export interface FleetStatus {
+  readonly nodes: ReadonlyArray<NodeStatus & { readonly address: string }>
+  readonly unanswered: ReadonlyArray<{ readonly address: string, readonly reason: string }>
+  readonly findings: readonly Finding[]
+  readonly agrees: boolean
+}
+
+interface Mark { readonly topic: Topic, readonly subject: string, readonly detail: string }
+
+const NOT_HELD = 'not held'
+
+function marksOf (status: NodeStatus, services: ReadonlySet<string>): Mark[] {
+  const held = new Map(status.documents.map(document => [document.service, document]))
+  const documents = [...services].map(service => {
+    const document = held.get(service)
+    const detail = document === undefined ? NOT_HELD : `version ${document.version} (revision ${document.revision})`
+    return { topic: Topic.Documents, subject: service, detail }
+  })
+  const rejected = status.rejected_documents.map(({ key, revision, faults }) => {
+    const [fault] = faults
+    const place = fault === undefined ? '' : `: line ${fault.line ?? 1}: ${fault.path}: ${fault.reason}`
+    const more = faults.length > 1 ? `; ${faults.length - 1} more faults` : ''
+    return { topic: Topic.RejectedEdits, subject: key, detail: `revision ${revision}${place}${more}` }
+  })
+  const leaving = status.leaving_vms.map(vm => ({ topic: Topic.LeavingVms, subject: vm, detail: 'leaving' }))
+  // The time left differs between nodes by the way of the hint, so it is not compared.
+  const quarantined = status.quarantined.map(({ fingerprint }) => (
+    {
+      topic: Topic.Quarantined,
+      subject: `${fingerprint.serviceName} ${fingerprint.routeName}`,
+      detail: `body hash ${fingerprint.bodyHash.toString(16).padStart(8, '0')}`
+    }))
+  return [...documents, ...rejected, ...leaving, ...quarantined]
+}
+
+function findingsOf (nodes: FleetStatus['nodes']): Finding[] {
+  const services = new Set(nodes.flatMap(node => node.documents.map(document => document.service)).sort())
+  const found = new Map<string, Mark & { readonly nodes: Set<string> }>()
+  for (const node of nodes) {
+    for (const mark of marksOf(node, services)) {
+      const key = JSON.stringify(mark)
+      const known = found.get(key) ?? { ...mark, nodes: new Set<string>() }
+      known.nodes.add(nameOf(node))
+      found.set(key, known)
+    }
+  }
+  const names = new Set(nodes.map(nameOf))
+  const topics = Object.values(Topic)
+  return [...found.values()]
+    .map(finding => ({ ...finding, nodes: [...finding.nodes], isShared: finding.nodes.size === names.size }))
+    .sort((a, b) => topics.indexOf(a.topic) - topics.indexOf(b.topic) ||
+      (a.subject === b.subject ? b.nodes.length - a.nodes.length : a.subject < b.subject ? -1 : 1))
+}
+
+/** Two nodes started with the same id must not hide behind one name. */
+function nameOf ({ node_id: nodeId, address }: FleetStatus['nodes'][number]): string {
+  return `${nodeId}@${address}`
+}
+
+/**
+ * Compares nodes: they agree when all answered and each finding is the same at
+ * all of them.
+ *
+ * @example
+ * compareNodes(await askNodes(addresses, options)).agrees
+ */
+export function compareNodes (asked: readonly AskedNode[]): FleetStatus {
+  const nodes = asked.flatMap(({ address, answer }) => answer.map(status => [{ address, ...status }]).orDefault([]))
+  const unanswered = asked.flatMap(({ address, answer }) =>
+    answer.swap().map(reason => [{ address, reason }]).orDefault([]))
+  const findings = findingsOf(nodes)
+  const agrees = unanswered.length === 0 && findings.every(finding => finding.isShared)
+  return { nodes, unanswered, findings, agrees }
+}
--- /dev/null
+++ b/src/status/nodeStatus.ts
@@ -0,0 +1,88 @@
+import { got } from 'got'
+import { Either, Left, Right } from 'purify-ts'
+import { z } from 'zod'
+
+/** Status answers grow with documents and callers; some 400 services take well below this. */
+const ANSWER_MAX_BYTES = 16 * 2 ** 20
+
+const statusSchema = z.object({
+  node_id: z.string(),
+  service: z.string(),
+  data_centre: z.string(),
+  incarnation: z.string(),
+  state: z.string(),
+  backend_server: z.string(),
+  gate: z.object({
+    inFlightCount: z.number(),
+    queuedCount: z.number(),
+    limitCount: z.number(),
+    cutLevel: z.number(),
+    saturated: z.boolean()
+  }),
+  documents: z.array(z.object({
+    service: z.string(), version: z.number(), revision: z.number(), in_force_for_ms: z.number()
+  })),
+  rejected_documents: z.array(z.object({
+    key: z.string(),
+    revision: z.number(),
+    faults: z.array(z.object({ path: z.string(), line: z.number().nullable(), reason: z.string() }))
+  })),
+  leaving_vms: z.array(z.string()),
+  quarantined: z.array(z.object({
+    fingerprint: z.object({ serviceName: z.string(), routeName: z.string(), bodyHash: z.number() }),
+    untilMs: z.number()
+  })),
+  lease: z.object({ listRevision: z.number(), fromLabelMs: z.number(), untilLabelMs: z.number() }).nullable(),
+  control_bytes_per_s: z.number()
+})
+
+/** The part of a node's `/status` that is compared. */
+export type NodeStatus = z.infer<typeof statusSchema>
+
+/** What came of asking one node. */
+export interface AskedNode {
+  readonly address: string
+  readonly answer: Either<string, NodeStatus>
+}
+
+async function statusOf (address: string, timeoutMs: number): Promise<Either<string, NodeStatus>> {
+  const aborter = new AbortController()
+  try {
+    const request = got(`http://${address}/status`, {
+      timeout: { request: timeoutMs }, retry: { limit: 0 }, followRedirect: false, signal: aborter.signal
+    })
+    // Ends the request of an endpoint that sends without end before it fills the memory.
+    void request.on('downloadProgress', ({ transferred }) => {
+      if (transferred > ANSWER_MAX_BYTES) aborter.abort()
+    })
+    const parsed = statusSchema.safeParse(JSON.parse(await request.text()))
+    if (parsed.success) return Right(parsed.data)
+    const [issue] = parsed.error.issues
+    return Left(`not the status of a node: ${issue?.path.join('.')}: ${issue?.message}`)
+  } catch (error) {
+    if (aborter.signal.aborted) return Left('the answer is above 16 MB')
+    if (error instanceof SyntaxError) return Left('the answer is not JSON')
+    return Left(error instanceof Error ? error.message : String(error))
+  }
+}
+
+/**
+ * Asks operator endpoints for their status, a limited number at a time. The
+ * results are in the order of the addresses.
+ *
+ * @example
+ * const asked = await askNodes(['10.0.0.1:9100'], { timeoutMs: 2_000, atOnceCount: 32 })
+ *
+ * Errors: a node that did not answer in time or not with a status is a Left with the cause.
+ */
+export async function askNodes (
+  addresses: readonly string[], { timeoutMs, atOnceCount }: { readonly timeoutMs: number, readonly atOnceCount: number }
+): Promise<AskedNode[]> {
+  const asked = new Array<AskedNode>(addresses.length)
+  const waiting = addresses.entries()
+  const askInTurn = async (): Promise<void> => {
+    for (const [index, address] of waiting) asked[index] = { address, answer: await statusOf(address, timeoutMs) }
+  }
+  await Promise.all(Array.from({ length: Math.min(atOnceCount, addresses.length) }, askInTurn))
+  return asked
+}
--- /dev/null
+++ b/src/status/status.spec.ts
@@ -0,0 +1,136 @@
+import { once } from 'node:events'
+import { createServer, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { compareNodes, Topic, type FleetStatus } from './compareNodes.js'
+import { askNodes } from './nodeStatus.js'
+import { statusText } from './statusText.js'
+
+/** As `/status` answers, with fields that are not compared. */
+function status (nodeId: string, changes: Record<string, unknown> = {}): Record<string, unknown> {
+  return {
+    node_id: nodeId,
+    service: 'delivery-booking',
+    data_centre: 'tartu',
+    incarnation: 'a1',
+    state: 'serving',
+    backend_server: 'ready',
+    open_calls_count: 3,
+    gate: { inFlightCount: 3, queuedCount: 0, limitCount: 220, cutLevel: 255, saturated: false },
+    documents: [
+      { service: 'delivery-booking', version: 7, revision: 12, in_force_for_ms: 900 },
+      { service: 'invoicing', version: 2, revision: 4, in_force_for_ms: 900 }
+    ],
+    rejected_documents: [],
+    leaving_vms: [],
+    quarantined: [],
+    lease: { listRevision: 5, fromLabelMs: 0, untilLabelMs: 1_700_000_000_000 },
+    control_bytes_per_s: 2_345,
+    ...changes
+  }
+}
+
+const fingerprint = { serviceName: 'delivery-booking', routeName: 'book', bodyHash: 0xbeef }
+const servers: Server[] = []
+let mostAtOnceCount = 0
+let atOnceCount = 0
+
+async function serve (respond: (response: ServerResponse) => void): Promise<string> {
+  const server = createServer((_request, response) => {
+    atOnceCount += 1
+    mostAtOnceCount = Math.max(mostAtOnceCount, atOnceCount)
+    response.on('close', () => { atOnceCount -= 1 })
+    respond(response)
+  }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  servers.push(server)
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+const answering = async (value: unknown): Promise<string> =>
+  await serve(response => { response.end(typeof value === 'string' ? value : JSON.stringify(value)) })
+
+/** Ports differ from run to run; snapshots get the place in the list instead. */
+async function fleetOf (addresses: readonly string[], timeoutMs = 20_000): Promise<FleetStatus> {
+  const fleet = compareNodes(await askNodes(addresses, { timeoutMs, atOnceCount: 32 }))
+  const text = addresses.reduce((sofar, address, index) =>
+    sofar.replaceAll(address, `host-${index}:9100`), JSON.stringify(fleet))
+  return JSON.parse(text) as FleetStatus
+}
+
+afterEach(() => {
+  for (const server of servers.splice(0)) {
+    server.closeAllConnections()
+    server.close()
+  }
+  mostAtOnceCount = 0
+})
+
+describe('status', () => {
+  test('nodes that are alike agree', async () => {
+    const fleet = await fleetOf([await answering(status('vm-1')), await answering(status('vm-2'))])
+    expect(statusText(fleet)).toMatchSnapshot()
+    expect(fleet.agrees).toBe(true)
+  })
+
+  test('differing versions, rejected edits, leaving VMs and quarantined requests are told with their nodes', async () => {
+    const documents = [{ service: 'delivery-booking', version: 8, revision: 13, in_force_for_ms: 1 }]
+    const fault = { path: 'version', line: 3, reason: 'is 6; allowed is a number above 7' }
+    const fleet = await fleetOf([
+      await answering(status('vm-1', {
+        rejected_documents: [{ key: 'documents/invoicing', revision: 9, faults: [fault, fault] }]
+      })),
+      await answering(status('vm-2', { documents, leaving_vms: ['vm-9'], lease: null })),
+      await answering(status('vm-3', {
+        leaving_vms: ['vm-9'],
+        quarantined: [{ fingerprint, untilMs: 5 }],
+        state: 'draining',
+        backend_server: 'down',
+        gate: { inFlightCount: 220, queuedCount: 12, limitCount: 220, cutLevel: 96, saturated: true }
+      }))
+    ])
+    expect(statusText(fleet)).toMatchSnapshot()
+    expect(fleet).toMatchSnapshot()
+  })
+
+  test('what all nodes share is shown but is no difference, however long their quarantine still lasts', async () => {
+    const addresses = await Promise.all([5, 9].map(async untilMs =>
+      await answering(status('vm-1', { leaving_vms: ['vm-9'], quarantined: [{ fingerprint, untilMs }] }))))
+    const fleet = await fleetOf(addresses)
+    const leaving = fleet.findings.filter(finding => finding.topic === Topic.LeavingVms)
+    expect([fleet.agrees, leaving.length]).toEqual([true, 1])
+  })
+
+  test('nodes that do not answer, or not with a status, are named with the cause', async () => {
+    const fleet = await fleetOf([
+      await answering(status('vm-1')), await answering('<html>'), await answering({ node_id: 'vm-2' }),
+      await serve(response => { response.writeHead(503).end('{}') }), '127.0.0.1:1'
+    ])
+    expect(statusText(fleet)).toMatchSnapshot()
+    expect(fleet.agrees).toBe(false)
+  })
+
+  test('a node that accepts the request and stays silent is given up after the timeout', async () => {
+    const fleet = await fleetOf([await serve(() => {})], 50)
+    expect(fleet.unanswered).toMatchObject([{ reason: expect.stringContaining('50ms') }])
+  })
+
+  test('an endpoint that sends too much does not fill the memory', async () => {
+    const fleet = await fleetOf([await answering(`"${'x'.repeat(20 * 2 ** 20)}"`)])
+    expect(fleet.unanswered).toMatchObject([{ reason: 'the answer is above 16 MB' }])
+  })
+
+  test('no more than 32 nodes are asked at the same time, and all are asked', async () => {
+    const text = JSON.stringify(status('vm-1'))
+    const open: ServerResponse[] = []
+    const finishAll = (): void => { for (const response of open.splice(0)) response.end(text) }
+    // Holds its answers until 32 requests, or the last ones, are open.
+    let seenCount = 0
+    const address = await serve(response => {
+      seenCount += 1
+      open.push(response)
+      if (open.length === 32 || seenCount === 70) finishAll()
+    })
+    const asked = await askNodes(Array.from({ length: 70 }, () => address), { timeoutMs: 20_000, atOnceCount: 32 })
+    expect([asked.filter(one => one.answer.isRight()).length, mostAtOnceCount]).toEqual([70, 32])
+  })
+})
