--- a/src/core/idempotency/idempotencyDb.ts
+++ b/src/core/idempotency/idempotencyDb.ts
@@ -42,6 +42,8 @@
   readonly sentMs: Millis
   readonly sentWallMs: Millis
   readonly votes: Map<string, GrantedVote>
+  /** Whether its votes were enough for a lease. */
+  gaveLease: boolean
 }
 
 /** What this node knows as a holder of leases. */
@@ -80,7 +82,10 @@
   resendWindowMs: 120_000,
   futureLabelMs: 2_000,
   leaseAheadMs: 10_000,
-  leaseRenewMs: 2_000,
+  // A voter of a data centre of 190 nodes has to spend less than 20 KB/s on their requests; see docs/CAPACITY.md.
+  // The longest label accepted is 2 s ahead, so a lease of 10 s outlasts the renewal and one lost round.
+  leaseRenewMs: 5_000,
+  leaseRetryMs: 2_000,
   clockSkewMs: 2_000,
   votersCount: 9,
   refusalMemoryMs: 125_000,
--- a/src/core/idempotency/idempotencyDefinition.ts
+++ b/src/core/idempotency/idempotencyDefinition.ts
@@ -8,7 +8,7 @@
 import { labelOf } from './keyLabel.js'
 import { admit, beforeDispatch, expireKeys, finish, refused } from './keyMemory.js'
 import { ownerOf } from './keyOwner.js'
-import { lease, leaseRequests, onLeaseVote, setVoters } from './leaseHolder.js'
+import { isVoter, lease, leaseRequests, onLeaseVote, setVoters } from './leaseHolder.js'
 import { onLeaseRequest } from './leaseVoter.js'
 
 /**
@@ -37,6 +37,7 @@
   onLeaseRequest,
   onLeaseVote,
   lease,
+  isVoter,
   admit,
   beforeDispatch,
   finish,
--- a/src/core/idempotency/idempotencyTypes.ts
+++ b/src/core/idempotency/idempotencyTypes.ts
@@ -97,7 +97,10 @@
   readonly resendWindowMs: Millis
   readonly futureLabelMs: Millis
   readonly leaseAheadMs: Millis
+  /** Time between the rounds of votes while each gives a lease. */
   readonly leaseRenewMs: Millis
+  /** How long the votes of a round count, and when a round without a lease is repeated. */
+  readonly leaseRetryMs: Millis
   readonly clockSkewMs: Millis
   readonly votersCount: number
   readonly refusalMemoryMs: Millis
@@ -143,6 +146,8 @@
   onLeaseRequest (db: Db, request: LeaseRequest, nowMs: Millis, wallMs: Millis): LeaseVote
   onLeaseVote (db: Db, vote: LeaseVote, nowMs: Millis, wallMs: Millis): void
   lease (db: Db): LabelLease | null
+  /** Whether this node's votes may count for some list, so that it has to stay settled. */
+  isVoter (db: Db): boolean
   /** Checks a send and, for `run`, remembers the key as accepted. */
   admit (db: Db, send: KeySend, nowMs: Millis, wallMs: Millis): KeyDecision
   /** Checks again right before dispatch and, for `run`, remembers the key as running. */
--- a/src/core/idempotency/leaseHolder.ts
+++ b/src/core/idempotency/leaseHolder.ts
@@ -39,6 +39,10 @@
   return ids
 }
 
+function waitAfter (db: IdempotencyDb, round: LeaseRound): Millis {
+  return round.gaveLease ? db.settings.leaseRenewMs : db.settings.leaseRetryMs
+}
+
 /**
  * Lease requests that are due, each with the voter it goes to. The node's own
  * vote is counted inside and needs no message.
@@ -52,8 +56,10 @@
   const { holder } = db
   const { view, round } = holder
   if (view === undefined) return []
-  if (round !== undefined && nowMs - round.sentMs < db.settings.leaseRenewMs) return []
-  holder.round = { requestId: holder.nextRequestId++, sentMs: nowMs, sentWallMs: wallMs, votes: new Map() }
+  if (round !== undefined && nowMs - round.sentMs < waitAfter(db, round)) return []
+  holder.round = {
+    requestId: holder.nextRequestId++, sentMs: nowMs, sentWallMs: wallMs, votes: new Map(), gaveLease: false
+  }
   const due: Array<{ readonly voterId: string, readonly request: LeaseRequest }> = []
   for (const voterId of voterIdsToAsk(holder, view)) {
     const request = requestFor(db, voterId, view, wallMs)
@@ -156,6 +162,7 @@
 function confirm (db: IdempotencyDb, view: VoterView, range: LabelRange, nowMs: Millis): void {
   const { holder } = db
   holder.confirmedMs = nowMs
+  if (holder.round !== undefined) holder.round.gaveLease = true
   const { listRevision, voterIds } = view
   addLease(holder, { listRevision, ...range })
   const base = { listRevision, voterIds, fromLabelMs: range.fromLabelMs }
@@ -170,7 +177,7 @@
 
 /**
  * Counts a vote for the request under way. A vote for an earlier request, another
- * revision, or one that comes later than the renewal time is not counted.
+ * revision, or one that comes later than the retry time is not counted.
  *
  * @example
  * onLeaseVote(db, vote, nowMs, wallMs)
@@ -179,7 +186,7 @@
   const { view, round } = db.holder
   if (vote.kind === 'lease_refused' || view === undefined || round === undefined) return
   if (vote.requestId !== round.requestId || vote.listRevision !== view.listRevision) return
-  if (!isOpen(round, nowMs, wallMs, db.settings.leaseRenewMs)) return
+  if (!isOpen(round, nowMs, wallMs, db.settings.leaseRetryMs)) return
   round.votes.set(vote.voterId, vote)
   learnConfigs(db.holder, vote, view.listRevision)
   const range = leasedRange(db.holder, view) ?? rangeAfterLoss(db, view, nowMs, wallMs)
@@ -190,3 +197,16 @@
 export function lease (db: IdempotencyDb): LabelLease | null {
   return db.holder.leases.at(-1) ?? null
 }
+
+/**
+ * Whether this node is among the voters of its list, of a base or of a revision
+ * between them. Such a node has to ask for leases itself to become settled.
+ *
+ * @example
+ * if (isVoter(db)) send(leaseRequests(db, nowMs, wallMs))
+ */
+export function isVoter (db: IdempotencyDb): boolean {
+  const { holder, voter, nodeId } = db
+  const listed = [holder.view, holder.base, voter.base].some(config => config?.voterIds.includes(nodeId))
+  return listed || [...holder.pending.values(), ...voter.pending.values()].some(ids => ids.includes(nodeId))
+}
--- a/src/node/leaseMessages.ts
+++ b/src/node/leaseMessages.ts
@@ -17,64 +17,47 @@
 const baseTuple = z.tuple([whole, voters, labelMs])
   .transform(([listRevision, voterIds, fromLabelMs]): LeaseBase => ({ listRevision, voterIds, fromLabelMs }))
 
-const leaseRequestSchema = z.strictObject({
-  request_id: whole,
-  data_centre: name,
-  node_id: name,
-  list_revision: whole,
-  until_label_ms: labelMs,
-  base_revision: z.int().min(-1),
-  base: baseTuple.optional(),
-  voters: voters.optional()
-}).transform((found): LeaseRequest => ({
+// Requests and votes are most of the control bytes of a voter, so they travel as tuples without field names.
+const leaseRequestSchema = z.tuple([
+  whole, name, name, whole, labelMs, z.int().min(-1), baseTuple.nullable(), voters.nullable()
+]).transform(([
+  requestId, dataCentre, nodeId, listRevision, untilLabelMs, baseRevision, base, voterIds
+]): LeaseRequest => ({
   kind: 'lease_request',
-  requestId: found.request_id,
-  dataCentre: found.data_centre,
-  nodeId: found.node_id,
-  listRevision: found.list_revision,
-  untilLabelMs: found.until_label_ms,
-  baseRevision: found.base_revision,
-  ...(found.base === undefined ? {} : { base: found.base }),
-  ...(found.voters === undefined ? {} : { voterIds: found.voters })
+  requestId,
+  dataCentre,
+  nodeId,
+  listRevision,
+  untilLabelMs,
+  baseRevision,
+  ...(base === null ? {} : { base }),
+  ...(voterIds === null ? {} : { voterIds })
 }))
 
-const grantSchema = z.strictObject({
-  vote: z.literal('granted'),
-  request_id: whole,
-  voter_id: name,
-  list_revision: whole,
-  from_label_ms: labelMs,
-  until_label_ms: labelMs,
-  settled: z.boolean(),
-  base_revision: z.int().min(-1),
-  base: baseTuple.optional(),
-  pending: z.array(configTuple).max(PENDING_MAX_COUNT).optional()
-})
+const grantSchema = z.tuple([
+  z.literal('granted'), whole, name, whole, labelMs, labelMs, z.boolean(), z.int().min(-1), baseTuple.nullable(),
+  z.array(configTuple).max(PENDING_MAX_COUNT)
+]).transform(([
+  , requestId, voterId, listRevision, fromLabelMs, untilLabelMs, settled, baseRevision, base, pending
+]): LeaseVote => ({
+  kind: 'lease_granted',
+  requestId,
+  voterId,
+  listRevision,
+  fromLabelMs,
+  untilLabelMs,
+  settled,
+  baseRevision,
+  ...(base === null ? {} : { base }),
+  ...(pending.length === 0 ? {} : { pending })
+}))
 
-const refusalSchema = z.strictObject({
-  vote: z.literal('refused'), request_id: whole, voter_id: name, highest_revision: whole
-})
+const refusalSchema = z.tuple([z.literal('refused'), whole, name, whole])
+  .transform(([, requestId, voterId, highestRevision]): LeaseVote => ({
+    kind: 'lease_refused', requestId, voterId, highestRevision
+  }))
 
-const voteSchema = z.discriminatedUnion('vote', [grantSchema, refusalSchema])
-  .transform((found): LeaseVote => found.vote === 'granted'
-    ? {
-        kind: 'lease_granted',
-        requestId: found.request_id,
-        voterId: found.voter_id,
-        listRevision: found.list_revision,
-        fromLabelMs: found.from_label_ms,
-        untilLabelMs: found.until_label_ms,
-        settled: found.settled,
-        baseRevision: found.base_revision,
-        ...(found.base === undefined ? {} : { base: found.base }),
-        ...(found.pending === undefined ? {} : { pending: found.pending })
-      }
-    : {
-        kind: 'lease_refused',
-        requestId: found.request_id,
-        voterId: found.voter_id,
-        highestRevision: found.highest_revision
-      })
+const voteSchema = z.union([grantSchema, refusalSchema])
 
 function checked<T> (schema: z.ZodType<T>, value: unknown): Either<string, T> {
   const result = schema.safeParse(value)
@@ -97,38 +80,22 @@
 
 /** Parameters of a lease request on the wire. */
 export function leaseRequestParams (request: LeaseRequest): z.input<typeof leaseRequestSchema> {
-  return {
-    request_id: request.requestId,
-    data_centre: request.dataCentre,
-    node_id: request.nodeId,
-    list_revision: request.listRevision,
-    until_label_ms: request.untilLabelMs,
-    base_revision: request.baseRevision,
-    ...(request.base === undefined ? {} : { base: baseOnWire(request.base) }),
-    ...(request.voterIds === undefined ? {} : { voters: [...request.voterIds] })
-  }
+  const { requestId, dataCentre, nodeId, listRevision, untilLabelMs, baseRevision, base, voterIds } = request
+  return [
+    requestId, dataCentre, nodeId, listRevision, untilLabelMs, baseRevision,
+    base === undefined ? null : baseOnWire(base), voterIds === undefined ? null : [...voterIds]
+  ]
 }
 
 /** A voter's answer on the wire. */
 export function voteResult (vote: LeaseVote): z.input<typeof voteSchema> {
   switch (vote.kind) {
-    case 'lease_granted': return {
-      vote: 'granted',
-      request_id: vote.requestId,
-      voter_id: vote.voterId,
-      list_revision: vote.listRevision,
-      from_label_ms: vote.fromLabelMs,
-      until_label_ms: vote.untilLabelMs,
-      settled: vote.settled,
-      base_revision: vote.baseRevision,
-      ...(vote.base === undefined ? {} : { base: baseOnWire(vote.base) }),
-      ...(vote.pending === undefined
-        ? {}
-        : { pending: vote.pending.map((one): [number, string[]] => [one.listRevision, [...one.voterIds]]) })
-    }
-    case 'lease_refused': return {
-      vote: 'refused', request_id: vote.requestId, voter_id: vote.voterId, highest_revision: vote.highestRevision
-    }
+    case 'lease_granted': return [
+      'granted', vote.requestId, vote.voterId, vote.listRevision, vote.fromLabelMs, vote.untilLabelMs, vote.settled,
+      vote.baseRevision, vote.base === undefined ? null : baseOnWire(vote.base),
+      (vote.pending ?? []).map((one): [number, string[]] => [one.listRevision, [...one.voterIds]])
+    ]
+    case 'lease_refused': return ['refused', vote.requestId, vote.voterId, vote.highestRevision]
     default: return assertNever(vote)
   }
 }
