Replace the AbortController of each call by a plain cancellation

Cause: a processor profile of the node at 600 calls/s (after start and warm-up) shows 33% in socket writes, 10% in undici, 4.4% in garbage collection, 3.0% in the abort controller and event target of each call, and about 20% in src/core and src/node together. Change: `Cancellation` in poolTypes.ts; the tests of the pool cancel with it and check the same results as before.

--- a/src/node/backendLink.ts
+++ b/src/node/backendLink.ts
@@ -2,7 +2,7 @@
 import { Reason } from '../core/coreTypes.js'
 import { BackendStatus } from '../core/nodeCore/nodeCoreTypes.js'
 import { ConnectionPool } from './connectionPool.js'
-import type { PoolRequest, PoolResult } from './connectionPool.js'
+import type { Cancellation, PoolRequest, PoolResult } from './connectionPool.js'
 
 const PROBE_PERIOD_MS: Millis = 500
 const PROBE_TIMEOUT_MS: Millis = 250
@@ -53,8 +53,8 @@
     void this.#probe()
   }
 
-  async send (request: PoolRequest, signal: AbortSignal): Promise<PoolResult> {
-    const result = await this.#pool.send(request, signal)
+  async send (request: PoolRequest, cancellation: Cancellation): Promise<PoolResult> {
+    const result = await this.#pool.send(request, cancellation)
     this.#note(result)
     return result
   }
--- a/src/node/callTask.ts
+++ b/src/node/callTask.ts
@@ -4,7 +4,7 @@
 import type { BackendLink } from './backendLink.js'
 import { passedHeaders } from './callReader.js'
 import type { Reply } from './reply.js'
-import { ConnectionPool } from './connectionPool.js'
+import { Cancellation, ConnectionPool } from './connectionPool.js'
 import type { PoolRequest } from './connectionPool.js'
 
 const PEER_CONNECTIONS_MAX_COUNT = 256
@@ -14,7 +14,7 @@
   readonly message: IncomingMessage
   readonly body: Uint8Array | null
   readonly reply: Reply
-  abort: AbortController | null
+  cancellation: Cancellation
 }
 
 export interface CallTaskOptions {
@@ -44,7 +44,7 @@
   }
 
   open (call: IncomingCall, message: IncomingMessage, body: Uint8Array | null, reply: Reply): void {
-    this.#calls.set(call.callId, { call, message, body, reply, abort: null })
+    this.#calls.set(call.callId, { call, message, body, reply, cancellation: new Cancellation() })
     reply.onGone = () => this.#options.emit({ kind: 'caller_gone', callId: call.callId })
   }
 
@@ -59,7 +59,7 @@
   }
 
   abort (callId: string): void {
-    this.#calls.get(callId)?.abort?.abort()
+    this.#calls.get(callId)?.cancellation.cancel()
   }
 
   /** Sends a call to the own backend server or to a peer and reports how that ended. */
@@ -67,13 +67,12 @@
     const { callId } = command
     const open = this.#calls.get(callId)
     if (open === undefined) return
-    const abort = new AbortController()
-    open.abort = abort
+    open.cancellation = new Cancellation()
     const request = this.#requestOf(open, command)
     const kind = command.kind === 'dispatch' ? 'backend_result' : 'peer_result'
     const result = command.kind === 'dispatch'
-      ? await this.#options.backend.send(request, abort.signal)
-      : await this.#poolOf(command.address).send(request, abort.signal)
+      ? await this.#options.backend.send(request, open.cancellation)
+      : await this.#poolOf(command.address).send(request, open.cancellation)
     this.#options.emit({ kind, callId, result })
   }
 
--- a/src/node/connectionPool.spec.ts
+++ b/src/node/connectionPool.spec.ts
@@ -5,7 +5,7 @@
 import { ManualClock, systemClock } from '../clock/clock.js'
 import { Reason } from '../core/coreTypes.js'
 import { ConnectionEvent } from '../core/routing/routingTypes.js'
-import { ConnectionPool, type ConnectionPoolOptions, type PoolRequest } from './connectionPool.js'
+import { Cancellation, ConnectionPool, type ConnectionPoolOptions, type PoolRequest } from './connectionPool.js'
 
 const NEVER_MS = 60_000
 const SHORT_MS = 40
@@ -215,9 +215,9 @@
       socket.on('close', () => closes.add())
     }))
     const pool = poolFor(place)
-    const abort = new AbortController()
-    const cancelled = pool.send(get(), abort.signal)
-    abort.abort()
+    const abort = new Cancellation()
+    const cancelled = pool.send(get(), abort)
+    abort.cancel()
     expect(await cancelled).toMatchObject({ reason: Reason.CallerCancelled, bytesSent: false })
     await closes.reaches(1)
     const next = await pool.send(get('/', NEVER_MS, 'c2'))
@@ -303,24 +303,24 @@
 
 describe('cancellation and close', () => {
   test('a cancelled call closes its connection, so that the other side notices', async () => {
-    const abort = new AbortController()
+    const abort = new Cancellation()
     const seen: Socket[] = []
     const place = await rawServer(socket => {
       seen.push(socket)
-      abort.abort()
+      abort.cancel()
     })
-    expect(await poolFor(place).send(get(), abort.signal)).toMatchObject({
+    expect(await poolFor(place).send(get(), abort)).toMatchObject({
       reason: Reason.CallerCancelled, bytesSent: true
     })
     await closed(seen[0]!)
   })
 
   test('a call cancelled while it waits for a connection is known as not sent', async () => {
-    const abort = new AbortController()
-    const place = await rawServer(() => abort.abort())
+    const abort = new Cancellation()
+    const place = await rawServer(() => abort.cancel())
     const pool = poolFor(place, { connectionsMaxCount: 1 })
     const first = pool.send(get('/', SHORT_MS))
-    const waiting = await pool.send(get('/waiting', NEVER_MS, 'c2'), abort.signal)
+    const waiting = await pool.send(get('/waiting', NEVER_MS, 'c2'), abort)
     expect(waiting).toMatchObject({ reason: Reason.CallerCancelled, bytesSent: false })
     jest.advanceTimersByTime(SHORT_MS)
     expect(await first).toMatchObject({ reason: Reason.AnswerTimeout })
--- a/src/node/connectionPool.ts
+++ b/src/node/connectionPool.ts
@@ -5,7 +5,7 @@
 import { PoolCall, type CallOwner } from './poolCall.js'
 import { openSocket, PoolConnection, type OpenAttempt } from './poolConnection.js'
 import {
-  POOL_DEFAULTS, type ConnectionPoolOptions, type PoolAnswer, type PoolBounds, type PoolFailure,
+  POOL_DEFAULTS, type Cancellation, type ConnectionPoolOptions, type PoolAnswer, type PoolBounds, type PoolFailure,
   type PoolRequest, type PoolResult
 } from './poolTypes.js'
 
@@ -21,8 +21,7 @@
 interface Pending {
   readonly resolve: (result: PoolResult) => void
   readonly timer: NodeJS.Timeout
-  readonly signal: AbortSignal | undefined
-  readonly onAbort: () => void
+  readonly cancellation: Cancellation | undefined
 }
 
 /**
@@ -68,8 +67,8 @@
   }
 
   /** Sends a request and waits for the whole answer. */
-  send (request: PoolRequest, signal?: AbortSignal): Promise<PoolResult> {
-    return this.#start(request, signal, false)
+  send (request: PoolRequest, cancellation?: Cancellation): Promise<PoolResult> {
+    return this.#start(request, cancellation, false)
   }
 
   /** Asks the place for `path` with GET, and reports the result as a probe event. */
@@ -87,15 +86,14 @@
     })
   }
 
-  #start (request: PoolRequest, signal: AbortSignal | undefined, isProbe: boolean): Promise<PoolResult> {
+  #start (request: PoolRequest, cancellation: Cancellation | undefined, isProbe: boolean): Promise<PoolResult> {
     const call = new PoolCall(request, this, this.#bounds.answerMaxBytes, this.#clock.monotonicMs(), isProbe)
     return new Promise(resolve => {
-      const onAbort = (): void => this.failed(call, Reason.CallerCancelled)
       const timeoutMs = Math.min(Math.max(request.timeoutMs, 0), TIMER_MAX_MS)
       const timer = setTimeout(() => this.#timedOut(call), timeoutMs)
-      this.#pending.set(call, { resolve, timer, signal, onAbort })
-      signal?.addEventListener('abort', onAbort, { once: true })
-      if (signal?.aborted === true) onAbort()
+      this.#pending.set(call, { resolve, timer, cancellation })
+      if (cancellation !== undefined) cancellation.onCancel = () => this.failed(call, Reason.CallerCancelled)
+      if (cancellation?.cancelled === true) this.failed(call, Reason.CallerCancelled)
       else if (this.#closing || this.#waiting.length >= this.#bounds.waitingMaxCount) {
         this.failed(call, Reason.ConnectFailed, true)
       } else this.#serve(call)
@@ -149,7 +147,7 @@
     const timer = setTimeout(() => this.#timedOut(call), probeTimeoutMs)
     this.#probingCount++
     const resolve = (): void => { this.#probingCount-- }
-    this.#pending.set(call, { resolve, timer, signal: undefined, onAbort: resolve })
+    this.#pending.set(call, { resolve, timer, cancellation: undefined })
     call.dispatchOn(connection)
   }
 
@@ -286,7 +284,7 @@
     this.#pending.delete(call)
     if (pending === undefined) return
     clearTimeout(pending.timer)
-    pending.signal?.removeEventListener('abort', pending.onAbort)
+    if (pending.cancellation !== undefined) pending.cancellation.onCancel = null
     pending.resolve(result)
   }
 
--- a/src/node/poolTypes.ts
+++ b/src/node/poolTypes.ts
@@ -11,6 +11,27 @@
   readonly timeoutMs: Millis
 }
 
+/**
+ * Lets a caller cancel one send at a time. An `AbortController` for each call
+ * costs about a thirtieth of the node's processor time.
+ *
+ * @example
+ * const cancellation = new Cancellation()
+ * const result = pool.send(request, cancellation)
+ * cancellation.cancel()
+ */
+export class Cancellation {
+  cancelled = false
+  /** Set by the pool while the send is open. */
+  onCancel: (() => void) | null = null
+
+  cancel (): void {
+    if (this.cancelled) return
+    this.cancelled = true
+    this.onCancel?.()
+  }
+}
+
 /** Why a request has no whole answer. */
 export type PoolFailure =
   | Reason.ConnectFailed | Reason.ConnectionLost | Reason.AnswerTimeout | Reason.AnswerTruncated
