--- a/src/node/nodeShell.ts
+++ b/src/node/nodeShell.ts
@@ -18,6 +18,7 @@
 import type { SenderView } from './callReader.js'
 import { CallTask } from './callTask.js'
 import { ControlTask } from './controlTask.js'
+import { settingsWithout } from './mechanisms.js'
 import { splitAddress } from './nodeSettings.js'
 import type { NodeSettings } from './nodeSettings.js'
 import { OperatorServer } from './operatorServer.js'
@@ -76,7 +77,7 @@
       serviceName: settings.service,
       dataCentre: settings.dataCentre,
       controlEnabled: settings.control === 'on'
-    }, {}, Math.random, this.#time())
+    }, settingsWithout(settings.without), Math.random, this.#time())
     this.#backend = new BackendLink({
       address: settings.backendAddress,
       clock: this.#clock,
@@ -117,7 +118,7 @@
   emit (event: NodeEvent): NodeCommand[] {
     const commands = nodeCoreDefinition.handle(this.#db, event, this.#time())
     for (const command of commands) this.#run(command)
-    if (!this.#ready && this.#db.nodeState === 'serving') this.#noteReady()
+    if (!this.#ready && nodeCoreDefinition.isReady(this.#db, this.#clock.wallMs())) this.#noteReady()
     return commands
   }
 
--- a/src/soak/soakCaller.ts
+++ b/src/soak/soakCaller.ts
@@ -12,6 +12,10 @@
 /** A root request is forgotten by the checks when nothing of it can happen any more. */
 const FORGET_AFTER_MS: Millis = 400_000
 const KEYED_RATIO = 0.5
+/** Most resends come at once; a late one meets restarted nodes, newer lists and other owner nodes. */
+const LATE_RESEND_RATIO = 0.2
+const LATE_RESEND_MAX_MS: Millis = 30_000
+const RESEND_MAX_MS: Millis = 60
 
 interface Root {
   readonly rootId: string
@@ -28,6 +32,8 @@
   readonly #name: string
   readonly #skewMs: Millis
   meanPeriodMs: Millis
+  /** A quiet caller sends no new root requests. */
+  isQuiet = false
   rootsCount = 0
   readonly outcomes = { done: 0, notRun: 0, unknown: 0 }
 
@@ -48,7 +54,7 @@
   #scheduleNext (): void {
     const { world } = this.#fleet
     world.after(-Math.log(1 - world.random()) * this.meanPeriodMs, () => {
-      this.#sendRoot(Math.floor(world.random() * 500))
+      if (!this.isQuiet) this.#sendRoot(Math.floor(world.random() * 500))
       this.#scheduleNext()
     })
   }
@@ -104,7 +110,8 @@
     if (outcome === Outcome.Done) {
       this.outcomes.done += 1
     } else if (attempt <= RESENDS_MAX_COUNT) {
-      world.after(world.between(0, 60), () => this.#send(root, attempt + 1))
+      const delayMaxMs = world.chance(LATE_RESEND_RATIO) ? LATE_RESEND_MAX_MS : RESEND_MAX_MS
+      world.after(world.between(0, delayMaxMs), () => this.#send(root, attempt + 1))
     } else if (outcome === Outcome.NotRun) {
       this.outcomes.notRun += 1
     } else {
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -10,6 +10,7 @@
 const SERVICES = ['booking', 'schedule', 'invoicing'] as const
 /** A run keeps this many live nodes at least, so that there is something to check. */
 const LIVE_NODES_MIN_COUNT = 5
+const SURGE_FACTOR = 8
 
 function liveNode (fleet: SoakFleet): SoakNode | undefined {
   const live = fleet.nodes.filter(node => node.isAlive && !node.isStopping)
@@ -91,7 +92,10 @@
 function lieAboutHealth (fleet: SoakFleet, node: SoakNode, lastsMs: number): void {
   const backend = fleet.backendOf(node.entry.vmId)
   backend.reportedStatus = fleet.world.pick([BackendStatus.Warming, BackendStatus.Ready])
-  fleet.world.after(lastsMs, () => { backend.reportedStatus = null })
+  fleet.world.after(lastsMs, () => {
+    backend.reportedStatus = null
+    if (backend.status !== BackendStatus.Down) backend.setStatus(backend.status)
+  })
 }
 
 /** Two operators publish the same version with different contents. */
@@ -114,9 +118,8 @@
 
 function surge (fleet: SoakFleet, lastsMs: number): void {
   for (const caller of fleet.callers) {
-    const calmMs = caller.meanPeriodMs
-    caller.meanPeriodMs = calmMs / 8
-    fleet.world.after(Math.min(lastsMs, 3_000), () => { caller.meanPeriodMs = calmMs })
+    caller.meanPeriodMs /= SURGE_FACTOR
+    fleet.world.after(Math.min(lastsMs, 3_000), () => { caller.meanPeriodMs *= SURGE_FACTOR })
   }
 }
 
@@ -139,10 +142,8 @@
   const { vmId } = node.entry
   const backend = fleet.backendOf(vmId)
   backend.setStatus(BackendStatus.Draining)
-  fleet.checks.vmLeaves(vmId, fleet.world.nowMs)
   fleet.world.after(lastsMs, () => {
     if (backend.status !== BackendStatus.Draining) return
-    fleet.checks.vmStays(vmId)
     backend.setStatus(BackendStatus.Ready)
   })
 }
--- a/src/soak/soakNode.ts
+++ b/src/soak/soakNode.ts
@@ -59,6 +59,11 @@
     return this.#fleet.world.nowMs < this.#pausedUntilMs
   }
 
+  /** Calls received and not answered, and sends without a result. */
+  get openCount (): number {
+    return this.#deliveries.size + this.#sends.size
+  }
+
   pause (forMs: Millis): void {
     this.#pausedUntilMs = Math.max(this.#pausedUntilMs, this.#fleet.world.nowMs + forMs)
     this.#fleet.world.after(forMs, () => this.#drainInbox())
@@ -91,7 +96,9 @@
   }
 
   checkInvariants (): void {
-    for (const { property, detail } of nodeCoreDefinition.violations(this.db, this.#fleet.world.nowMs)) {
+    // A paused process cannot end its calls, so it is checked as of its last event.
+    const nowMs = this.isPaused ? this.db.lastEventAtMs : this.#fleet.world.nowMs
+    for (const { property, detail } of nodeCoreDefinition.violations(this.db, nowMs)) {
       this.#fleet.checks.violation(property, `${this.entry.vmId}: ${detail}`)
     }
   }
