--- a/src/report/buildReport.ts
+++ b/src/report/buildReport.ts
@@ -71,6 +71,8 @@
   return [...groups].sort(byText(([key]) => key)).flatMap(([, [tenant, ...rest]]) => tenant === undefined
     ? []
     : [usageRow(tenant, byService.get(tenant.serviceName), [tenant, ...rest].filter(isSeries), periodS)])
+    // Calls refused for a wrong name leave pairs that were promised nothing and took nothing.
+    .filter(row => row.takenCount > 0 || row.promisedCallsPerS !== null)
 }
 
 function seenRows (series: readonly Series[]): SeenRow[] {
--- a/src/report/report.spec.ts
+++ b/src/report/report.spec.ts
@@ -88,7 +88,8 @@
   })
 
   test('callers without own terms share the default promise, and an unlisted name has none', async () => {
-    const report = await reportOn(fileOf(linesOf([{ callerName: 'default_caller' }, { callerName: 'former' }])))
+    const misnamed = { serviceName: 'stock', outcome: Outcome.NotRun, reason: Reason.UnknownService }
+    const report = await reportOn(fileOf(linesOf([{ callerName: 'default_caller' }, { callerName: 'former' }, misnamed])))
     expect(report.usage.map(row => [row.callerName, row.promisedCallsPerS]))
       .toEqual([['default_caller', 1], ['dispatchers', 100], ['former', null]])
   })
