Report the greatest memory of a report run

Cause: ragwortspur-report printed the memory at its end, which may be below its greatest. Ruled out: sampling, since the system keeps the greatest value. Change: the closing line on standard error uses the process's maximum.

--- a/src/cli/reportMain.ts
+++ b/src/cli/reportMain.ts
@@ -83,7 +83,7 @@
 const report = buildReport(tally, documents, ends)
 const elapsedMs = systemClock.monotonicMs() - startedAtMs
 process.stderr.write(`ragwortspur-report: ${tally.linesCount} lines in ${Math.round(elapsedMs)} ms, ` +
-  `${Math.round(process.memoryUsage.rss() / 2 ** 20)} MB\n`)
+  `at most ${Math.round(process.resourceUsage().maxRSS / 2 ** 10)} MB\n`)
 process.stdout.write(settings.json ? `${JSON.stringify(report, null, 2)}\n` : reportText(report))
 process.exitCode = report.completeness.isComplete ? 0 : EXIT_NOT_COMPLETE
 if (settings.html !== '') {
