Return to a token bucket of 200 ms

Cause: with 500 ms two tests of the agreement fail: a caller under saturation has to stay within 2% of its promise over 10 s, and a full bucket of 500 ms alone adds 5%. Ruled out: a wider bound in the test, since 2% is the stated target. Before/after: 2 tests failed, all pass after.

--- a/src/core/agreement/agreementDefinition.ts
+++ b/src/core/agreement/agreementDefinition.ts
@@ -10,7 +10,7 @@
  */
 export const agreementDefaults: AgreementSettings = {
   shareGrowthDelayMs: 10_000,
-  burstMs: 500,
+  burstMs: 200,
   vitalReserveRatio: 0.2
 }
 
