Treat unnumbered sends of a key as possible resends at the owner node

Cause: the node passed an unnumbered send on to the key memory as attempt 1.

Ruled out: a lease held by two nodes (the key ran once).

Change: an unnumbered send has attempt 0 in the key memory, below a first send. Without a record of the key it gets `unknown`; with one, the owner's refusal still covers it and all later unnumbered sends. With even seeds the soak now has two booking nodes in each data centre, so that keys can change their owner.

Conclusion: the core was wrong. The idempotency soak numbers each send, so it could not show this.

--- a/src/core/nodeCore/callPlacement.ts
+++ b/src/core/nodeCore/callPlacement.ts
@@ -13,6 +13,9 @@
 import type { CallEnd, CallState } from './nodeCoreTypes.js'
 import { ownerCandidatesOf, ownerRevisionsOf } from './publishedValues.js'
 
+/** Ranks below a first send, since an unnumbered send may be a resend of one that ran at another owner. */
+const UNNUMBERED_ATTEMPT = 0
+
 /** Identity of a keyed call, or null on an idempotent route. */
 export function requestKeyOf (state: CallState): RequestKey | null {
   const { call, route } = state
@@ -109,7 +112,7 @@
   const send = {
     key,
     callId: state.call.callId,
-    attempt: state.call.attempt ?? 1,
+    attempt: state.call.attempt ?? UNNUMBERED_ATTEMPT,
     isOwner,
     ownerRevisions: ownerRevisionsOf(turn, key, state.document)
   }
--- a/src/soak/soakFleet.ts
+++ b/src/soak/soakFleet.ts
@@ -40,7 +40,9 @@
     this.platform.publish('catalogue', JSON.stringify({ services: SERVICES, data_centres: DATA_CENTRES }))
     for (const serviceName of SERVICES) this.publishDocument(serviceName)
     for (const serviceName of SERVICES) {
-      for (const dataCentre of DATA_CENTRES) this.addVm(serviceName, dataCentre)
+      for (const dataCentre of DATA_CENTRES) {
+        for (let count = vmsCountOf(serviceName, seed); count > 0; count--) this.addVm(serviceName, dataCentre)
+      }
     }
     for (const dataCentre of DATA_CENTRES) this.publishList(dataCentre)
     this.callers = DATA_CENTRES.map((dataCentre, at) =>
@@ -172,3 +174,8 @@
     return version
   }
 }
+
+/** With even seeds, keys of bookings can move between two live nodes of a data centre when its list changes. */
+function vmsCountOf (serviceName: string, seed: number): number {
+  return serviceName === 'booking' && seed % 2 === 0 ? 2 : 1
+}
