Add a matrix of faults at steps of a call, a node and a document

Cause: the soak strikes at random times, so it did not show whether a fault had ever met a call at a given step.

Nodes of the soak report the steps; a fault strikes inside the step, also between the decision to dispatch and the send.

Ruled out: other traces of the soak; without an observer the nodes do the same.

--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -17,9 +17,8 @@
   return live.length < LIVE_NODES_MIN_COUNT ? undefined : fleet.world.pick(live)
 }
 
-/** Brings one fault into a run; most faults end by themselves. */
-export function applyFault (fleet: SoakFleet, fault: Fault): void {
-  const node = liveNode(fleet)
+/** Brings one fault into a run, at a given node or a random one; most faults end by themselves. */
+export function applyFault (fleet: SoakFleet, fault: Fault, node = liveNode(fleet)): void {
   if (node === undefined) return
   const { world, network } = fleet
   const lastsMs = world.between(200, 12_000)
--- a/src/soak/soakFleet.ts
+++ b/src/soak/soakFleet.ts
@@ -8,6 +8,7 @@
 import { SoakNetwork } from './soakNetwork.js'
 import { SoakNode } from './soakNode.js'
 import { SoakPlatform } from './soakPlatform.js'
+import type { FaultStep } from './soakTypes.js'
 import { SoakWorld } from './soakWorld.js'
 
 export const DATA_CENTRES = ['north', 'south', 'west'] as const
@@ -32,6 +33,8 @@
   readonly #documentVersions = new Map<string, number>()
   #idsCount = 0
   listLagMs = LIST_LAG_MS
+  /** Told when a call, a node or a document reaches a step; the fault matrix strikes there. */
+  onStep: ((step: FaultStep, node: SoakNode) => void) | null = null
 
   constructor (seed: number) {
     this.world = new SoakWorld(seed)
--- a/src/soak/soakNode.ts
+++ b/src/soak/soakNode.ts
@@ -2,7 +2,7 @@
 import { importanceOfLevel } from '../core/coreTypes.js'
 import type { Importance } from '../core/coreTypes.js'
 import type { VmEntry } from '../core/membership/membershipTypes.js'
-import { getCall } from '../core/nodeCore/nodeCoreDb.js'
+import { getCall, isStopping } from '../core/nodeCore/nodeCoreDb.js'
 import type { NodeCoreDb } from '../core/nodeCore/nodeCoreDb.js'
 import { nodeCoreDefinition } from '../core/nodeCore/nodeCoreDefinition.js'
 import type { IncomingCall, NodeCommand, NodeEvent } from '../core/nodeCore/nodeCoreTypes.js'
@@ -10,6 +10,7 @@
 import type { SoakFleet } from './soakFleet.js'
 import { SoakGossip } from './soakGossip.js'
 import type { Place } from './soakNetwork.js'
+import { FaultStep } from './soakTypes.js'
 import type { Delivery, Exchange } from './soakTypes.js'
 import { START_WALL_MS } from './soakWorld.js'
 
@@ -92,6 +93,7 @@
     const commands = nodeCoreDefinition.handle(this.db, event, this.#time())
     for (const command of commands) this.#run(command)
     if (this.#fleet.world.chance(CHECK_RATIO)) this.checkInvariants()
+    if (this.#fleet.onStep !== null) this.#noteSteps(commands)
     return commands
   }
 
@@ -104,6 +106,7 @@
   }
 
   receive (delivery: Delivery): void {
+    this.#reached(FaultStep.Accept)
     this.whenAwake(() => {
       this.#deliveries.set(delivery.call.callId, delivery)
       this.handle({ kind: 'call_received', call: delivery.call })
@@ -114,6 +117,20 @@
     this.emit({ kind: 'caller_gone', callId })
   }
 
+  #reached (step: FaultStep): void {
+    this.#fleet.onStep?.(step, this)
+  }
+
+  #noteSteps (commands: readonly NodeCommand[]): void {
+    const { calls, nodeState, backendState } = this.db
+    if ([...calls.values()].some(state => state.chartState === 'queued')) this.#reached(FaultStep.Queue)
+    if (calls.size > 0 && (isStopping(this.db) || backendState === 'draining')) this.#reached(FaultStep.Drain)
+    if (nodeState === 'starting') this.#reached(FaultStep.Start)
+    const hasNewDocument = commands.some(command => command.kind === 'value_offered' &&
+      command.key.startsWith('documents/') && command.result.kind === 'accepted')
+    if (hasNewDocument) this.#reached(FaultStep.DocumentSpread)
+  }
+
   #time (): { nowMs: Millis, wallMs: Millis } {
     const { nowMs } = this.#fleet.world
     return { nowMs, wallMs: START_WALL_MS + nowMs + this.#skewMs }
@@ -141,12 +158,14 @@
 
   #run (command: NodeCommand): void {
     switch (command.kind) {
-      case 'dispatch': return this.#dispatch(command.callId, command.timeoutMs)
+      case 'dispatch': return this.#dispatchWhenAwake(command.callId, command.timeoutMs)
       case 'forward': return this.#forward(command)
       case 'answer': {
         const delivery = this.#deliveries.get(command.callId)
         this.#deliveries.delete(command.callId)
-        return delivery?.onAnswer(command.answer)
+        delivery?.onAnswer(command.answer)
+        if (delivery?.call.source.kind === 'peer') this.#reached(FaultStep.AnsweredNotReported)
+        return
       }
       case 'drop': {
         const delivery = this.#deliveries.get(command.callId)
@@ -155,7 +174,8 @@
       }
       case 'abort_send': return this.#sends.get(command.callId)?.abort()
       case 'retry_later':
-        return this.#fleet.world.after(command.delayMs, () => this.emit({ kind: 'retry_due', callId: command.callId }))
+        this.#fleet.world.after(command.delayMs, () => this.emit({ kind: 'retry_due', callId: command.callId }))
+        return this.#reached(FaultStep.ResendWaiting)
       case 'lease_request': return this.gossip.requestLease(command.address, command.request)
       case 'quarantine_hint':
         return this.gossip.tell({ kind: 'quarantine_hint', fingerprint: command.fingerprint, forMs: 60_000 })
@@ -171,15 +191,25 @@
     }
   }
 
+  /** A fault may strike between the decision of the core and the send; a paused process sends when it wakes up. */
+  #dispatchWhenAwake (callId: string, timeoutMs: Millis): void {
+    this.#reached(FaultStep.BeforeDispatch)
+    if (!this.isAlive) return
+    if (this.isPaused) this.#inbox.push(() => this.#dispatch(callId, timeoutMs))
+    else this.#dispatch(callId, timeoutMs)
+  }
+
   #dispatch (callId: string, timeoutMs: Millis): void {
     const call = this.#deliveries.get(callId)?.call ?? getCall(this.db, callId)?.call
     if (call === undefined) return this.#fleet.checks.violation('dispatchKnowsCall', callId)
     this.#fleet.checks.sent(call.rootId, this.entry.vmId, callId)
     const exchange = this.#fleet.backendOf(this.entry.vmId).run(call, timeoutMs, result => {
       this.#sends.delete(callId)
+      if (result.kind === 'answered') this.#reached(FaultStep.AnswerUnderWay)
       this.emit({ kind: 'backend_result', callId, result })
     })
     this.#sends.set(callId, exchange)
+    this.#reached(FaultStep.Dispatched)
   }
 
   #forward (command: ForwardCommand): void {
--- a/src/soak/soakTypes.ts
+++ b/src/soak/soakTypes.ts
@@ -30,6 +30,30 @@
   VmLeaves = 'vm_leaves'
 }
 
+/** Steps of a call, a node or a document at which the fault matrix strikes. */
+export enum FaultStep {
+  /** A call has reached the node, which has not read it yet. */
+  Accept = 'accept',
+  /** A call waits in the queue of the gate. */
+  Queue = 'queue',
+  /** The core has decided to dispatch, and nothing has been sent. */
+  BeforeDispatch = 'before dispatch',
+  /** The backend server runs the call. */
+  Dispatched = 'dispatched',
+  /** The backend server has answered, and the node has not read the answer. */
+  AnswerUnderWay = 'answer under way',
+  /** The executing node has ended the call, and its answer is on the way to the entry node. */
+  AnsweredNotReported = 'answered but not yet reported',
+  /** The entry node waits before it sends the call again. */
+  ResendWaiting = 'resend waiting',
+  /** The node or its backend server drains with calls in flight. */
+  Drain = 'drain',
+  /** The node process has started and has not learned its document and list. */
+  Start = 'start',
+  /** A first node has put a new document in force, and others have not. */
+  DocumentSpread = 'document spread'
+}
+
 /** A message exchange as its sender sees it. */
 export interface Exchange {
   abort (): void
