--- a/src/core/admission/admissionDefinition.spec.ts
+++ b/src/core/admission/admissionDefinition.spec.ts
@@ -34,15 +34,15 @@
 const above = admissionLevel({ withinPromise: false, importance: Importance.Vital, rootHash: 0 })
 
 describe('admission gate', () => {
-  test('calls beyond the slots wait and start best level first, newest first inside a level', () => {
+  test('calls beyond the slots wait and start best level first, oldest first inside a level', () => {
     const db = open(1)
     const ids = offerAll(db, [call('a'), call('b', { level: 9 }), call('c', { level: 3 }), call('d', { level: 3 })])
     expect(show(ids)).toEqual(['start a', 'queued b', 'queued c', 'queued d'])
-    expect(drainOrder(db, 'a')).toEqual(['d', 'c', 'b'])
+    expect(drainOrder(db, 'a')).toEqual(['c', 'd', 'b'])
   })
 
   test.each([
-    [{ newestFirst: false }, ['c', 'd', 'b']],
+    [{ newestFirst: true }, ['d', 'c', 'b']],
     [{ priorities: false }, ['b', 'c', 'd']]
   ])('the order with %j', (settings, order) => {
     const db = open(1, settings)
--- a/src/core/admission/admissionProperties.spec.ts
+++ b/src/core/admission/admissionProperties.spec.ts
@@ -116,7 +116,7 @@
   })
 
   test.each([
-    { newestFirst: false }, { refuseByDeadline: false }, { adaptiveLimit: false }
+    { newestFirst: true }, { refuseByDeadline: false }, { adaptiveLimit: false }
   ])('they hold with %j, which only changes goodput', settings => {
     fc.assert(fc.property(steps, sequence => { run(sequence, settings) }), RUNS)
   })
--- a/src/soak/soakFleet.ts
+++ b/src/soak/soakFleet.ts
@@ -8,6 +8,7 @@
 import { SoakNetwork } from './soakNetwork.js'
 import { SoakNode } from './soakNode.js'
 import { SoakPlatform } from './soakPlatform.js'
+import type { FaultStep } from './soakTypes.js'
 import { SoakWorld } from './soakWorld.js'
 
 export const DATA_CENTRES = ['north', 'south', 'west'] as const
@@ -32,6 +33,8 @@
   readonly #documentVersions = new Map<string, number>()
   #idsCount = 0
   listLagMs = LIST_LAG_MS
+  /** Told when a call, a node or a document reaches a step; the fault matrix strikes there. */
+  onStep: ((step: FaultStep, node: SoakNode) => void) | null = null
 
   constructor (seed: number) {
     this.world = new SoakWorld(seed)
@@ -40,7 +43,9 @@
     this.platform.publish('catalogue', JSON.stringify({ services: SERVICES, data_centres: DATA_CENTRES }))
     for (const serviceName of SERVICES) this.publishDocument(serviceName)
     for (const serviceName of SERVICES) {
-      for (const dataCentre of DATA_CENTRES) this.addVm(serviceName, dataCentre)
+      for (const dataCentre of DATA_CENTRES) {
+        for (let count = vmsCountOf(serviceName, seed); count > 0; count--) this.addVm(serviceName, dataCentre)
+      }
     }
     for (const dataCentre of DATA_CENTRES) this.publishList(dataCentre)
     this.callers = DATA_CENTRES.map((dataCentre, at) =>
@@ -172,3 +177,8 @@
     return version
   }
 }
+
+/** With even seeds, keys of bookings can move between two live nodes of a data centre when its list changes. */
+function vmsCountOf (serviceName: string, seed: number): number {
+  return serviceName === 'booking' && seed % 2 === 0 ? 2 : 1
+}
--- a/src/soak/soakRun.spec.ts
+++ b/src/soak/soakRun.spec.ts
@@ -1,4 +1,5 @@
 import { SoakFleet } from './soakFleet.js'
+import type { SoakNode } from './soakNode.js'
 import { runSoak } from './soakRun.js'
 
 describe('fleet on a manual clock', () => {
@@ -9,12 +10,14 @@
     expect(report.doneCount / report.rootsCount).toBeGreaterThan(0.7)
   })
 
-  test.each([1, 2, 3, 4, 5, 6])('seed %i with all faults breaks no property', async seed => {
+  // Seed 2 runs longer below.
+  test.each([1, 3, 4, 5, 6])('seed %i with all faults breaks no property', async seed => {
     expect((await runSoak({ seed, steps: 60_000 })).violations).toEqual([])
   })
 
   // Seed 1035: a call was sent to a draining owner that became a target again before the call ended.
-  test.each([[1035, 100_000]])('seed %i, which failed once, breaks no property in %i steps', async (seed, steps) => {
+  // Seed 2: an unnumbered resend was reported as not run by a new owner after the first send had run.
+  test.each([[1035, 100_000], [2, 260_000]])('seed %i, which failed once, breaks no property in %i steps', async (seed, steps) => {
     expect((await runSoak({ seed, steps })).violations).toEqual([])
   })
 
@@ -23,7 +26,9 @@
     const fleet = new SoakFleet(3002)
     const runTo = (untilMs: number): void => { while (fleet.world.nowMs < untilMs) fleet.world.step() }
     runTo(17_000)
-    const busy = fleet.nodes.find(node => node.db.calls.size > 0)!
+    const isBusy = (node: SoakNode): boolean => node.db.calls.size > 0
+    while (!fleet.nodes.some(isBusy)) fleet.world.step()
+    const busy = fleet.nodes.find(isBusy)!
     const openCallIds = [...busy.db.calls.keys()]
     for (const caller of fleet.callers) caller.isQuiet = true
     busy.pause(63_000)
