Compare processor time with and without control in pairs

Cause: other load on the machine moved the figures of two nodes measured one after the other by more than their difference. Ruled out: longer windows, which would take more than 2 minutes in all. Change: a node with control and one without are loaded in turn, and nodes are warmed up before lease requests are measured. Conclusion: differences of pairs are reported with their spread.

--- a/bench/slopesProcess.ts
+++ b/bench/slopesProcess.ts
@@ -18,6 +18,7 @@
 import { DESIGN_SIZE, OWN_DATA_CENTRE, OWN_NODE, OWN_SERVICE, valuesOf, type FleetSize } from './slopesValues.js'
 
 const REPEATS_COUNT = 3
+const PAIRS_COUNT = 5
 const WINDOW_MS = 1_000
 const SEND_STEP_MS = 5
 const WARM_UP_MS = 5_000
@@ -207,24 +208,33 @@
   }
 }
 
-async function repeated<T> (read: () => Promise<T>): Promise<T[]> {
+async function repeated<T> (read: () => Promise<T>, timesCount = REPEATS_COUNT): Promise<T[]> {
   const readings: T[] = []
-  for (let at = 0; at < REPEATS_COUNT; at += 1) readings.push(await read())
+  for (let at = 0; at < timesCount; at += 1) readings.push(await read())
   return readings
 }
 
-async function measureCalls (control: 'on' | 'off'): Promise<void> {
-  const node = await MeasuredNode.start(SMALL, control)
-  const points: Point[] = []
+/** The two nodes are loaded in turn, so that other load on the machine meets both alike. */
+async function measureCalls (): Promise<void> {
+  const off = await MeasuredNode.start(SMALL, 'off')
+  const on = await MeasuredNode.start(SMALL, 'on')
+  const points: Record<'off' | 'on' | 'difference', Point[]> = { off: [], on: [], difference: [] }
   const memory: Point[] = []
-  await node.load(800, WARM_UP_MS)
-  for (const x of [0, 100, 200, 400, 800]) {
-    points.push({ x, y: spreadOf((await repeated(() => node.load(x))).map(one => one.cpuUsPerS)) })
-    memory.push({ x, y: spreadOf([node.memory().residentMb]) })
+  await Promise.all([off.load(800, WARM_UP_MS), on.load(800, WARM_UP_MS)])
+  for (const x of [100, 200, 400, 800]) {
+    const pairs = await repeated(async () => ({
+      off: (await off.load(x)).cpuUsPerS, on: (await on.load(x)).cpuUsPerS
+    }), PAIRS_COUNT)
+    points.off.push({ x, y: spreadOf(pairs.map(pair => pair.off)) })
+    points.on.push({ x, y: spreadOf(pairs.map(pair => pair.on)) })
+    points.difference.push({ x, y: spreadOf(pairs.map(pair => pair.on - pair.off)) })
+    memory.push({ x, y: spreadOf([on.memory().residentMb]) })
   }
-  printSlope(`process time, control ${control}, one hop`, 'us/s', 'call/s', points)
-  printSlope(`resident memory, control ${control}`, 'MB', 'call/s', memory)
-  await node.stop()
+  printSlope('process time, control off, one hop', 'us/s', 'call/s', points.off)
+  printSlope('process time, control on, one hop', 'us/s', 'call/s', points.on)
+  printSlope('process time of decisions, on less off', 'us/s', 'call/s', points.difference)
+  printSlope('resident memory, control on', 'MB', 'call/s', memory)
+  await Promise.all([off.stop(), on.stop()])
 }
 
 async function openConnections (port: number, count: number): Promise<Socket[]> {
@@ -256,11 +266,11 @@
 }
 
 /** Sends lease requests as the nodes of a data centre do, and waits for the window to pass. */
-async function sendLeaseRequests (node: MeasuredNode, perS: number): Promise<number> {
+async function sendLeaseRequests (node: MeasuredNode, perS: number, durationMs = WINDOW_MS): Promise<number> {
   const socket = createSocket('udp4')
   const before = node.cpuUs()
   const startMs = performance.now()
-  for (let sentCount = 0; performance.now() < startMs + WINDOW_MS;) {
+  for (let sentCount = 0; performance.now() < startMs + durationMs;) {
     for (; sentCount < (performance.now() - startMs) * perS / 1_000; sentCount += 1) {
       const request = leaseRequestParams({
         kind: 'lease_request',
@@ -283,6 +293,7 @@
 async function measureLeaseTime (): Promise<void> {
   const node = await MeasuredNode.start(SMALL, 'on')
   const points: Point[] = []
+  await sendLeaseRequests(node, 180, WARM_UP_MS)
   for (const x of [0, 40, 95, 180]) points.push({ x, y: spreadOf(await repeated(() => sendLeaseRequests(node, x))) })
   printSlope('process time against lease requests of others', 'us/s', 'request/s', points)
   await node.stop()
@@ -312,8 +323,7 @@
 /** Measures real node processes. */
 export async function measureProcess (): Promise<void> {
   await measureIdle()
-  await measureCalls('off')
-  await measureCalls('on')
+  await measureCalls()
   await measureConnections()
   await measureLeaseTime()
 }
