--- a/src/core/admission/admissionDefinition.spec.ts
+++ b/src/core/admission/admissionDefinition.spec.ts
@@ -141,7 +141,7 @@
     gate.passesChain(db, 'invoicing', 'book', level, nowMs, () => random)
 
   test('learned cuts refuse worse root requests, let a few probes through and expire', () => {
-    const db = open(1)
+    const db = open(1, { chainCutTtlMs: 500 })
     for (let i = 0; i < 60; i++) gate.learnCut(db, 'invoicing', 'book', 60, 0)
     expect([passes(db, 60, 0), passes(db, 62, 0), passes(db, 62, 0, 0.001)]).toEqual([true, false, true])
     expect([passes(db, 200, 250), passes(db, 255, 500)]).toEqual([false, true])
--- a/src/core/admission/admissionDefinition.ts
+++ b/src/core/admission/admissionDefinition.ts
@@ -16,7 +16,7 @@
   newestFirst: false,
   refuseByDeadline: true,
   chainAdmission: true,
-  chainCutTtlMs: 500,
+  chainCutTtlMs: 2_000,
   priorities: true
 }
 
--- a/src/core/admission/chainCuts.ts
+++ b/src/core/admission/chainCuts.ts
@@ -3,7 +3,7 @@
 import type { AdmissionDb, ChainCut } from './admissionDb.js'
 
 /** Weight of one stricter answer: backend servers of one service report slightly different cuts. */
-const LEARN_RATIO = 1 / 8
+const LEARN_RATIO = 1 / 4
 /** Weight of one laxer answer. Servers that are not saturated report the worst level, far above any cut. */
 const RELAX_RATIO = 1 / 32
 /** Part of the refused root requests that is let through to see whether capacity has returned. */
