Take hints from listed nodes only, refresh targets when marks expire, end cleanly

Cause: three faults found in review. A quarantine hint of any sender refused requests; a node whose leaving mark expired stayed out of routing until the next list or notice; node_stopped never reached the log because the process ended first. Ruled out: signing hints, since nodes share no secret; the address of a listed node is what the other messages rely on as well. Change: hints count only from the control address of a listed node; the slow tick sets the targets anew when the number of marks changed; the process ends by itself after a stop, with a bound of 1 s. Conclusion: mended by reading; tests are to follow.

--- a/src/cli/nodeMain.ts
+++ b/src/cli/nodeMain.ts
@@ -5,13 +5,16 @@
 import { settingsOrExit } from '../settings/settings.js'
 
 const EXIT_CANNOT_START = 1
+/** The process ends by itself when its last socket is closed; this bounds the wait for it. */
+const EXIT_WAIT_MS = 1_000
 
 const { settings } = settingsOrExit(nodeProgram)
 const node = new NodeShell(settings)
 
 async function stop (): Promise<void> {
   await node.stop()
-  process.exit(0)
+  // Ending at once would lose log lines that are still being written.
+  setTimeout(() => process.exit(0), EXIT_WAIT_MS).unref()
 }
 
 process.once('SIGTERM', () => { void stop() })
--- a/src/core/nodeCore/nodeCoreDb.ts
+++ b/src/core/nodeCore/nodeCoreDb.ts
@@ -54,6 +54,8 @@
   awaitsBackend: boolean
   nextSlowTickAtMs: Millis
   nextRotationAtMs: Millis
+  /** Leaving marks at the last slow tick; a mark that expired brings its node back among the targets. */
+  leavingMarksCount: number
 }
 
 /** One event's handling: the state, the time readings and the commands so far. */
@@ -82,7 +84,8 @@
     awaitsList: false,
     awaitsBackend: false,
     nextSlowTickAtMs: 0,
-    nextRotationAtMs: 0
+    nextRotationAtMs: 0,
+    leavingMarksCount: 0
   }
 }
 
@@ -104,6 +107,7 @@
   db.awaitsBackend = false
   db.nextSlowTickAtMs = 0
   db.nextRotationAtMs = 0
+  db.leavingMarksCount = 0
   for (const family of families) family.clear(db.family)
 }
 
--- a/src/core/nodeCore/nodeCoreDefinition.ts
+++ b/src/core/nodeCore/nodeCoreDefinition.ts
@@ -178,6 +178,14 @@
   if (!isSettling(db)) applyCapacity(turn)
 }
 
+function refreshTargets (turn: Turn): void {
+  const { db } = turn
+  const marksCount = db.family.membership.marks.size
+  if (marksCount === db.leavingMarksCount) return
+  db.leavingMarksCount = marksCount
+  applyTargets(turn)
+}
+
 function takeTick (turn: Turn): void {
   const { db, nowMs } = turn
   endSettling(turn, { list: false, backend: false })
@@ -189,6 +197,7 @@
     db.nextRotationAtMs = nowMs + ENDED_CALLS_PERIOD_MS
     rotateEndedCalls(db)
   }
+  refreshTargets(turn)
   applyPromises(turn)
   sendLeaseRequests(turn)
   for (const { property, detail } of findViolations(db, nowMs)) {
--- a/src/node/controlTask.ts
+++ b/src/node/controlTask.ts
@@ -167,15 +167,23 @@
         }
         return
       case 'quarantine_hint':
-        this.#options.emit({
-          kind: 'quarantine_hint_received', fingerprint: message.fingerprint, forMs: message.forMs
-        })
+        // A hint refuses requests, so only listed nodes may give one.
+        if (this.#isListed(fromAddress)) {
+          this.#options.emit({
+            kind: 'quarantine_hint_received', fingerprint: message.fingerprint, forMs: message.forMs
+          })
+        }
         return
       default:
         this.#spread.onMessage(message, fromAddress)
     }
   }
 
+  #isListed (controlAddress: string): boolean {
+    const { ownDataCentre, otherDataCentres } = this.#peerAddresses()
+    return [...ownDataCentre, ...otherDataCentres].some(peer => peer.controlAddress === controlAddress)
+  }
+
   /** Only a VM itself may say that it is leaving. */
   #isFrom (nodeId: string, fromAddress: string): boolean {
     const entry = membershipDefinition.entryOf(this.#options.db.family.membership, nodeId)
