Use one piece of code where four things stood twice

Cause: the read-through found the choice of voters written again beside `votersOf`, two functions that ask whether a call may enter its chain, two that split an address, and the empty counts of a load report twice. Ruled out: merging the field lists of metrics, status codes and enums, which only look alike; sharing the record samples of two tests, whose values differ on purpose. Change: the existing piece serves both places each time. The number of voters comes from the settings in force instead of their defaults. A control address that cannot be split counts as unsent, as other send failures do.

--- a/demos/loadRun.ts
+++ b/demos/loadRun.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
+import { emptyCounts } from '../src/standins/callerReport.js'
 import type { CallerReport, StreamReport, WindowCounts } from '../src/standins/callerReport.js'
 import type { LoadPhase } from '../src/standins/loadPlan.js'
 import type { Deployment } from './deployment.js'
@@ -82,16 +83,7 @@
  * sumCounts(result, one => one.phase === 'calm').whole_count
  */
 export function sumCounts (result: LoadResult, pick: (stream: StreamReport) => boolean): SummedCounts {
-  const sum = {
-    offered_count: 0,
-    sends_count: 0,
-    whole_count: 0,
-    refused_count: 0,
-    unknown_count: 0,
-    failed_count: 0,
-    no_answer_count: 0,
-    wrong_count: 0
-  }
+  const sum = emptyCounts()
   for (const stream of result.reports.flatMap(report => report.streams).filter(pick)) {
     for (const name of Object.keys(sum) as Array<keyof typeof sum>) sum[name] += stream[name]
   }
--- a/src/core/nodeCore/callExecution.ts
+++ b/src/core/nodeCore/callExecution.ts
@@ -27,7 +27,7 @@
     return
   }
   takeStanding(turn, state)
-  if (!passesChainHere(turn, state)) {
+  if (!passesChain(turn, state)) {
     refuseBeforeSend(turn, state, Reason.ChainOverload, state.call.serviceName)
     return
   }
@@ -61,8 +61,13 @@
   state.level = Math.max(state.baseLevel, ownLevel)
 }
 
-function passesChainHere (turn: Turn, state: CallState): boolean {
-  if (!state.isRoot) return true
+/**
+ * Whether a call may enter the chain at its present level. The services behind
+ * would refuse a root request that may not, so it is refused before any work is
+ * done: at the entry node, and again where the caller's standing is known.
+ */
+export function passesChain (turn: Turn, state: CallState): boolean {
+  if (!turn.db.settings.controlEnabled || !state.isRoot) return true
   return admissionDefinition.passesChain(
     turn.db.family.admission, state.call.serviceName, state.route.name, state.level, turn.nowMs, turn.db.random
   )
--- a/src/core/nodeCore/callPlacement.ts
+++ b/src/core/nodeCore/callPlacement.ts
@@ -6,7 +6,7 @@
 import { retryDefinition } from '../retry/retryDefinition.js'
 import { routingDefinition } from '../routing/routingDefinition.js'
 import type { NodeTarget } from '../routing/routingTypes.js'
-import { executeHere } from './callExecution.js'
+import { executeHere, passesChain } from './callExecution.js'
 import { finishCall, giveTokenBack, refuseBeforeSend } from './callEnd.js'
 import { backendAcceptsWork, getPeerCut, isStopping, moveCall } from './nodeCoreDb.js'
 import type { Turn } from './nodeCoreDb.js'
@@ -41,7 +41,7 @@
 }
 
 function placeFreeCall (turn: Turn, state: CallState): void {
-  if (!passesChainAtEntry(turn, state)) {
+  if (!passesChain(turn, state)) {
     refuseBeforeSend(turn, state, Reason.ChainOverload, state.call.serviceName)
   } else if (!isOwnService(turn, state) || state.triedNodeIds.includes(turn.db.settings.nodeId)) {
     forwardToChoice(turn, state)
@@ -52,14 +52,6 @@
   }
 }
 
-/** Refuses root requests that the services behind would refuse anyway, before any work is done. */
-function passesChainAtEntry (turn: Turn, state: CallState): boolean {
-  if (!turn.db.settings.controlEnabled || !state.isRoot) return true
-  return admissionDefinition.passesChain(
-    turn.db.family.admission, state.call.serviceName, state.route.name, state.level, turn.nowMs, turn.db.random
-  )
-}
-
 function hasRoomHere (turn: Turn, state: CallState): boolean {
   if (!turn.db.settings.controlEnabled) return true
   if (!backendAcceptsWork(turn.db) || isStopping(turn.db)) return false
@@ -148,7 +140,7 @@
   const entry = owner.nodeId === undefined
     ? undefined
     : membershipDefinition.entryOf(turn.db.family.membership, owner.nodeId)
-  if (mayShed && !passesChainAtEntry(turn, state)) {
+  if (mayShed && !passesChain(turn, state)) {
     refuseBeforeSend(turn, state, Reason.ChainOverload, state.call.serviceName)
   } else if (entry === undefined) {
     refuseBeforeSend(turn, state, Reason.NoNode)
--- a/src/core/nodeCore/publishedValues.ts
+++ b/src/core/nodeCore/publishedValues.ts
@@ -6,9 +6,9 @@
 import { documentsDefinition } from '../documents/documentsDefinition.js'
 import type { Confirmation, PollRequest, PublishedValue, ServiceDocument } from '../documents/documentsTypes.js'
 import { parseVmList } from '../documents/documentsParse.js'
-import { rankByRendezvous } from '../hash.js'
 import { idempotencyDefinition } from '../idempotency/idempotencyDefinition.js'
 import type { OwnerCandidates, RequestKey } from '../idempotency/idempotencyTypes.js'
+import { votersOf } from '../idempotency/keyOwner.js'
 import { membershipDefinition } from '../membership/membershipDefinition.js'
 import { VmState } from '../membership/membershipTypes.js'
 import type { VmEntry } from '../membership/membershipTypes.js'
@@ -95,9 +95,8 @@
 
 function applyOwnList (turn: Turn, revision: number, entries: readonly VmEntry[]): void {
   const { db } = turn
-  const { votersCount } = idempotencyDefinition.defaults
-  const voterIds = rankByRendezvous(db.settings.dataCentre, entries, entry => entry.vmId)
-    .slice(0, votersCount).map(entry => entry.vmId)
+  const { votersCount } = db.family.idempotency.settings
+  const voterIds = votersOf(db.settings.dataCentre, entries.map(entry => entry.vmId), votersCount)
   const view = { dataCentre: db.settings.dataCentre, listRevision: revision, voterIds }
   idempotencyDefinition.setVoters(db.family.idempotency, view, turn.nowMs, turn.wallMs)
   const nodeIds = listedNodes(entries, db.settings.serviceName).map(entry => entry.vmId)
--- a/src/node/peerLink.ts
+++ b/src/node/peerLink.ts
@@ -8,6 +8,7 @@
 import type { LeaseRequest, LeaseVote } from '../core/idempotency/idempotencyTypes.js'
 import { Step, StepError } from '../errors/errors.js'
 import { DATAGRAM_HEADER_BYTES, type ControlBytes } from './controlBytes.js'
+import { splitAddress } from './nodeSettings.js'
 import { leaseRequestParams, readLeaseRequest, readVote, voteResult } from './leaseMessages.js'
 import { DATAGRAM_MAX_BYTES, encodeMessage, MESSAGE_METHODS, readMessage, type PeerMessage } from './peerMessages.js'
 
@@ -49,12 +50,6 @@
   counters (): Readonly<PeerLinkCounters>
 }
 
-/** Splits `ip:port`, with an IPv6 address in brackets. */
-function splitAddress (address: string): { host: string, port: number } {
-  const at = address.lastIndexOf(':')
-  return { host: address.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(address.slice(at + 1)) }
-}
-
 function addressOf (from: RemoteInfo): string {
   return from.family === 'IPv6' ? `[${from.address}]:${from.port}` : `${from.address}:${from.port}`
 }
@@ -167,8 +162,8 @@
       this.#counters.unsentCount += 1
       return
     }
-    const { host, port } = splitAddress(toAddress)
     try {
+      const { host, port } = splitAddress(toAddress)
       this.#socket.send(text, port, host, error => {
         if (error !== null) this.#counters.unsentCount += 1
       })
--- a/src/standins/callerReport.ts
+++ b/src/standins/callerReport.ts
@@ -76,7 +76,8 @@
   readonly reasons: Map<string, number>
 }
 
-function emptyCounts (): Counts {
+/** Counts of no request at all, to be added to. */
+export function emptyCounts (): Counts {
   return {
     offered_count: 0,
     sends_count: 0,
