--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'coverage/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'coverage/**'] },
   ...neostandard({ ts: true }),
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/src/core/placement/placementDb.ts
@@ -0,0 +1,37 @@
+import type { ListedServer } from '../discovery/discoveryTypes.js'
+import type { PlacementSettings, ServerView } from './placementTypes.js'
+
+export interface PlacementDb {
+  readonly settings: PlacementSettings
+  readonly views: Map<string, ServerView>
+}
+
+export function createPlacementDb (settings: PlacementSettings): PlacementDb {
+  return { settings, views: new Map() }
+}
+
+/** Empties the state. */
+export function clearPlacementDb (db: PlacementDb): void {
+  db.views.clear()
+}
+
+/** What is known of a server, made when it is new. */
+export function viewOf (db: PlacementDb, server: ListedServer): ServerView {
+  let view = db.views.get(server.serverId)
+  if (view === undefined) {
+    view = {
+      serverId: server.serverId,
+      report: null,
+      reportedAtMs: -Infinity,
+      sentSinceReportCount: 0,
+      outstandingCount: 0,
+      failuresInRowCount: 0,
+      ejectedUntilMs: -Infinity,
+      shedRatio: 0,
+      warmUntilMs: -Infinity,
+      isSilent: false
+    }
+    db.views.set(server.serverId, view)
+  }
+  return view
+}
--- /dev/null
+++ b/src/core/secondSends/secondSendsDb.ts
@@ -0,0 +1,34 @@
+import type { Millis } from '../../clock/clock.js'
+import type { SecondSendsSettings } from './secondSendsTypes.js'
+
+/** Requests and extra sends of one service, in slices of time. */
+export interface ServiceSends {
+  readonly requestsBySlice: Map<number, number>
+  readonly extrasBySlice: Map<number, number>
+}
+
+export interface SecondSendsDb {
+  readonly settings: SecondSendsSettings
+  readonly services: Map<string, ServiceSends>
+  readonly startedAtMs: Millis
+  /** Nodes that share the slack. */
+  nodesCount: number
+}
+
+export function createSecondSendsDb (settings: SecondSendsSettings, nowMs: Millis): SecondSendsDb {
+  return { settings, services: new Map(), startedAtMs: nowMs, nodesCount: 1 }
+}
+
+/** Empties the state. */
+export function clearSecondSendsDb (db: SecondSendsDb): void {
+  db.services.clear()
+}
+
+export function sendsOf (db: SecondSendsDb, serviceName: string): ServiceSends {
+  let sends = db.services.get(serviceName)
+  if (sends === undefined) {
+    sends = { requestsBySlice: new Map(), extrasBySlice: new Map() }
+    db.services.set(serviceName, sends)
+  }
+  return sends
+}
--- /dev/null
+++ b/src/core/slots/slotsDb.ts
@@ -0,0 +1,22 @@
+import type { SlotsSettings, Waiting } from './slotsTypes.js'
+
+export interface SlotsDb {
+  readonly settings: SlotsSettings
+  slotsCount: number
+  acceptsWork: boolean
+  runningCount: number
+  /** In the order in which they start. */
+  readonly queue: Waiting[]
+}
+
+export function createSlotsDb (settings: SlotsSettings): SlotsDb {
+  return { settings, slotsCount: 0, acceptsWork: true, runningCount: 0, queue: [] }
+}
+
+/** Empties the state. */
+export function clearSlotsDb (db: SlotsDb): void {
+  db.slotsCount = 0
+  db.acceptsWork = true
+  db.runningCount = 0
+  db.queue.length = 0
+}
--- /dev/null
+++ b/src/core/slots/slotsDefinition.ts
@@ -0,0 +1,102 @@
+import type { Millis } from '../../clock/clock.js'
+import type { LoadReport } from '../placement/placementTypes.js'
+import { clearSlotsDb, createSlotsDb, type SlotsDb } from './slotsDb.js'
+import { hasRoom, limitCount } from './slotsDetector.js'
+import { SlotRefusal, type SlotsSettings, type Waiting } from './slotsTypes.js'
+
+export const slotsDefaults: SlotsSettings = { usedSlotsRatio: 0.95, queueRatio: 0.5 }
+
+function insert (queue: Waiting[], waiting: Waiting): void {
+  let at = queue.length
+  while (at > 0 && queue[at - 1]!.call.rank > waiting.call.rank) at--
+  queue.splice(at, 0, waiting)
+}
+
+/** Starts waiting calls while there is room; those whose time to start has passed are refused. */
+function fill (db: SlotsDb, nowMs: Millis): void {
+  while (db.queue.length > 0 && hasRoom(db)) {
+    const next = db.queue.shift()!
+    if (next.call.startByMs < nowMs) {
+      next.refuse(SlotRefusal.WaitTooLong)
+      continue
+    }
+    db.runningCount += 1
+    next.start()
+  }
+}
+
+/**
+ * Asks for a slot. Exactly one of `start` and `refuse` is called, at once or later.
+ * A full queue gives up its last call for a better one.
+ */
+function offer (db: SlotsDb, waiting: Waiting, nowMs: Millis): void {
+  if (!db.acceptsWork) {
+    waiting.refuse(SlotRefusal.NotAccepting)
+    return
+  }
+  insert(db.queue, waiting)
+  fill(db, nowMs)
+  const queueMaxCount = Math.max(1, Math.floor(limitCount(db) * db.settings.queueRatio))
+  if (db.queue.length <= queueMaxCount) return
+  const last = db.queue.pop()!
+  last.refuse(last === waiting ? SlotRefusal.QueueFull : SlotRefusal.Displaced)
+}
+
+/** Gives a slot back. */
+function release (db: SlotsDb, nowMs: Millis): void {
+  db.runningCount = Math.max(0, db.runningCount - 1)
+  fill(db, nowMs)
+}
+
+/** Takes a waiting call out without calling it back; false if it does not wait. */
+function withdraw (db: SlotsDb, waiting: Waiting): boolean {
+  const at = db.queue.indexOf(waiting)
+  if (at < 0) return false
+  db.queue.splice(at, 1)
+  return true
+}
+
+/** Refuses calls that have waited for too long. */
+function expire (db: SlotsDb, nowMs: Millis): void {
+  if (!db.queue.some(waiting => waiting.call.startByMs < nowMs)) return
+  for (const waiting of db.queue.filter(entry => entry.call.startByMs < nowMs)) {
+    withdraw(db, waiting)
+    waiting.refuse(SlotRefusal.WaitTooLong)
+  }
+}
+
+function setSlots (db: SlotsDb, slotsCount: number, nowMs: Millis): void {
+  if (slotsCount === db.slotsCount) return
+  db.slotsCount = slotsCount
+  fill(db, nowMs)
+}
+
+/** Stops or resumes taking calls; those that wait are refused when it stops. */
+function setAccepting (db: SlotsDb, acceptsWork: boolean): void {
+  db.acceptsWork = acceptsWork
+  if (acceptsWork) return
+  for (const waiting of db.queue.splice(0)) waiting.refuse(SlotRefusal.NotAccepting)
+}
+
+function reading (db: SlotsDb): LoadReport {
+  return {
+    runningCount: db.runningCount,
+    queuedCount: db.queue.length,
+    limitCount: limitCount(db),
+    acceptsWork: db.acceptsWork
+  }
+}
+
+/** The slots family: which calls the own backend server runs, and in which order. */
+export const slotsDefinition = {
+  defaults: slotsDefaults,
+  createDb: createSlotsDb,
+  clear: clearSlotsDb,
+  offer,
+  release,
+  withdraw,
+  expire,
+  setSlots,
+  setAccepting,
+  reading
+}
--- a/src/errors/errors.ts
+++ b/src/errors/errors.ts
@@ -3,6 +3,7 @@
   ReadSettings = 'read_settings',
   ReadDocument = 'read_document',
   ReadPlatform = 'read_platform',
+  ReadMessage = 'read_message',
   AcceptCall = 'accept_call',
   Admit = 'admit',
   Forward = 'forward',
--- /dev/null
+++ b/src/mesh/entryTask.ts
@@ -0,0 +1,256 @@
+import type { Clock, Millis } from '../clock/clock.js'
+import type { ConfigurationDb } from '../core/configuration/configurationDb.js'
+import { configurationDefinition } from '../core/configuration/configurationDefinition.js'
+import type { RandomSource } from '../core/coreTypes.js'
+import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
+import { discoveryDefinition } from '../core/discovery/discoveryDefinition.js'
+import type { ListedServer } from '../core/discovery/discoveryTypes.js'
+import type { PlacementDb } from '../core/placement/placementDb.js'
+import { placementDefinition } from '../core/placement/placementDefinition.js'
+import { SendOutcome, type LoadReport } from '../core/placement/placementTypes.js'
+import type { SecondSendsDb } from '../core/secondSends/secondSendsDb.js'
+import { secondSendsDefinition } from '../core/secondSends/secondSendsDefinition.js'
+import type { IncomingRequest } from '../http/callerServer.js'
+import { OwnAnswer, type CallerDialect } from './callerDialect.js'
+import { EntryCall, type Send } from './entryCall.js'
+import {
+  LossReason, RefusalReason, type PlacedCall, type PlacedHandle, type PlacedListener, type PlacedResult
+} from './meshTypes.js'
+import type { NodeLog } from './nodeLog.js'
+
+/** Time given to a request whose caller names none. */
+const PATIENCE_DEFAULT_MS: Millis = 30_000
+/** Nodes asked in turn before a call is refused for lack of room; each costs a round trip. */
+const REFUSALS_MAX_COUNT = 3
+/** Timers that fire within the same slice share one wake-up. */
+const TIMER_SLICE_MS: Millis = 5
+
+export interface EntryTaskOptions {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly log: NodeLog
+  readonly dialect: CallerDialect
+  readonly configuration: ConfigurationDb
+  readonly discovery: DiscoveryDb
+  readonly placement: PlacementDb
+  readonly secondSends: SecondSendsDb
+  /** Hands a call to a server's node, or to the own backend server. */
+  readonly place: (server: ListedServer, call: PlacedCall, listener: PlacedListener) => PlacedHandle
+}
+
+/** The task that takes requests of callers on this VM and sees to their answers. */
+export class EntryTask {
+  readonly #options: EntryTaskOptions
+  readonly #calls = new Set<EntryCall>()
+
+  constructor (options: EntryTaskOptions) {
+    this.#options = options
+  }
+
+  get openCount (): number {
+    return this.#calls.size
+  }
+
+  receive (incoming: IncomingRequest): void {
+    const { clock, configuration, dialect, random } = this.#options
+    const nowMs = clock.monotonicMs()
+    const request = dialect.readRequest(incoming.head)
+    if (configuration.current === null) {
+      this.#refuseUnplanned(incoming, OwnAnswer.NotRunRetryLater, RefusalReason.NoConfiguration, request.requestId)
+      return
+    }
+    const rule = configurationDefinition.matchRoute(configuration, request.host, request.path)
+    if (rule === undefined) {
+      this.#refuseUnplanned(incoming, OwnAnswer.NoRoute, 'no_route', request.requestId)
+      return
+    }
+    const patienceMs = Math.min(request.patienceMs ?? PATIENCE_DEFAULT_MS, rule.timeoutMs ?? Infinity)
+    const serviceName = configurationDefinition.choosePart(configuration, rule, random)
+    const call = new EntryCall(incoming, request, rule, serviceName, nowMs, incoming.beganAtMs + patienceMs, false)
+    this.#calls.add(call)
+    secondSendsDefinition.request(this.#options.secondSends, serviceName, nowMs)
+    incoming.onGone = () => this.#abandon(call)
+    const delayMs = Math.max(0, Math.ceil((call.deadlineAtMs - nowMs) / TIMER_SLICE_MS) * TIMER_SLICE_MS)
+    call.timer = setTimeout(() => this.#timeOut(call), delayMs)
+    this.#send(call)
+  }
+
+  #refuseUnplanned (incoming: IncomingRequest, answer: OwnAnswer, reason: string, requestId: string): void {
+    this.#options.log.decision('refused', {
+      request: requestId, reason, version: this.#options.configuration.current?.version ?? 0
+    })
+    incoming.answer(this.#options.dialect.ownAnswer(
+      answer, reason, answer === OwnAnswer.NotRunRetryLater ? this.#retryAfterMs(null) : null
+    ))
+  }
+
+  #send (call: EntryCall): void {
+    const { clock, discovery, placement, random, place } = this.#options
+    const nowMs = clock.monotonicMs()
+    const server = placementDefinition.choose(placement, {
+      servers: discoveryDefinition.serversOf(discovery, call.serviceName), triedServerIds: call.triedServerIds
+    }, nowMs, random)
+    if (server === undefined) {
+      this.#giveUp(call)
+      return
+    }
+    call.triedServerIds.push(server.serverId)
+    const send: Send = { server, sentAtMs: nowMs, handle: null, isSilent: false }
+    call.sends.push(send)
+    placementDefinition.sent(placement, server)
+    const handle = place(server, this.#placedCall(call, server, nowMs), {
+      onResult: (result, load) => this.#onResult(call, send, result, load),
+      onSilent: () => this.#onSilent(call, send)
+    })
+    send.handle = handle
+  }
+
+  #placedCall (call: EntryCall, server: ListedServer, nowMs: Millis): PlacedCall {
+    const remainingMs = call.deadlineAtMs - nowMs
+    return {
+      serviceName: call.serviceName,
+      serverId: server.serverId,
+      requestId: call.request.requestId,
+      method: call.incoming.head.method,
+      target: call.incoming.head.target,
+      headerText: call.request.headerText,
+      body: call.incoming.body,
+      remainingMs,
+      waitMaxMs: remainingMs,
+      rank: call.rule.importanceRank,
+      isIdempotent: call.rule.isIdempotent
+    }
+  }
+
+  #onResult (call: EntryCall, send: Send, result: PlacedResult, load: LoadReport | null): void {
+    const { clock, placement } = this.#options
+    const nowMs = clock.monotonicMs()
+    send.handle = null
+    if (load !== null) placementDefinition.report(placement, send.server, load, nowMs)
+    placementDefinition.ended(placement, send.server, outcomeOf(result), nowMs)
+    if (call.isEnded) return
+    switch (result.kind) {
+      case 'answered':
+        this.#options.log.decision('answered', {
+          request: call.request.requestId,
+          route: call.rule.name,
+          server: send.server.serverId,
+          status: result.statusCode,
+          took_ms: Math.round(nowMs - call.arrivedAtMs),
+          version: this.#options.configuration.current?.version
+        })
+        this.#end(call)
+        call.incoming.answer(result)
+        return
+      case 'not_run':
+        call.lastRefusal = result.reason
+        if (result.reachedBackend) call.reachedCount += 1
+        this.#afterRefusal(call, result.reachedBackend)
+        return
+      case 'unknown':
+        call.reachedCount += 1
+        call.mayHaveRun = true
+        call.lastLoss = result.reason
+        this.#afterLoss(call)
+    }
+  }
+
+  /** Another server may have room; a send that reached no backend server costs the fleet nothing. */
+  #afterRefusal (call: EntryCall, reachedBackend: boolean): void {
+    if (call.openSends.length > 0) return
+    call.refusalsCount += 1
+    const mayGoOn = reachedBackend ? this.#mayRepeat(call) : call.refusalsCount < REFUSALS_MAX_COUNT
+    if (mayGoOn) this.#send(call)
+    else this.#giveUp(call)
+  }
+
+  #afterLoss (call: EntryCall): void {
+    if (call.openSends.length > 0) return
+    if (call.rule.isIdempotent && this.#mayRepeat(call)) this.#send(call)
+    else this.#giveUp(call)
+  }
+
+  #mayRepeat (call: EntryCall): boolean {
+    const nowMs = this.#options.clock.monotonicMs()
+    return call.reachedCount < call.rule.attemptsMaxCount && nowMs < call.deadlineAtMs &&
+      secondSendsDefinition.take(this.#options.secondSends, call.serviceName, nowMs)
+  }
+
+  #onSilent (call: EntryCall, send: Send): void {
+    if (call.isEnded || send.isSilent) return
+    send.isSilent = true
+    if (!call.rule.isIdempotent || call.openSends.some(open => !open.isSilent)) return
+    call.mayHaveRun = true
+    call.reachedCount += 1
+    if (this.#mayRepeat(call)) this.#send(call)
+  }
+
+  /** No server is left to ask: answers at once. */
+  #giveUp (call: EntryCall): void {
+    if (call.openSends.length > 0) return
+    if (call.mayHaveRun) this.#finish(call, OwnAnswer.UnknownOutcome, call.lastLoss ?? 'unknown')
+    else this.#finish(call, OwnAnswer.NotRunRetryLater, call.lastRefusal)
+  }
+
+  #timeOut (call: EntryCall): void {
+    if (call.isEnded) return
+    const mayHaveRun = call.mayHaveRun || call.openSends.length > 0
+    if (mayHaveRun) this.#finish(call, OwnAnswer.TimedOut, LossReason.TimedOut)
+    else this.#finish(call, OwnAnswer.NotRunRetryLater, call.lastRefusal)
+  }
+
+  #finish (call: EntryCall, answer: OwnAnswer, reason: string): void {
+    const { clock, dialect, log, configuration } = this.#options
+    const nowMs = clock.monotonicMs()
+    log.decision(answer, {
+      request: call.request.requestId,
+      route: call.rule.name,
+      service: call.serviceName,
+      reason,
+      servers: call.triedServerIds.join(',') || 'none',
+      held_ms: Math.round(nowMs - call.arrivedAtMs),
+      left_ms: Math.round(call.deadlineAtMs - nowMs),
+      version: configuration.current?.version
+    })
+    this.#end(call)
+    const retryAfterMs = answer === OwnAnswer.NotRunRetryLater ? this.#retryAfterMs(call) : null
+    call.incoming.answer(dialect.ownAnswer(answer, reason, retryAfterMs))
+  }
+
+  #retryAfterMs (_call: EntryCall | null): Millis {
+    return 200 + this.#options.random() * 300
+  }
+
+  #abandon (call: EntryCall): void {
+    if (call.isEnded) return
+    this.#options.log.decision('caller_left', {
+      request: call.request.requestId,
+      route: call.rule.name,
+      held_ms: Math.round(this.#options.clock.monotonicMs() - call.arrivedAtMs)
+    })
+    this.#end(call)
+  }
+
+  #end (call: EntryCall): void {
+    call.isEnded = true
+    this.#calls.delete(call)
+    if (call.timer !== null) clearTimeout(call.timer)
+    const nowMs = this.#options.clock.monotonicMs()
+    for (const send of call.openSends) {
+      send.handle?.cancel()
+      send.handle = null
+      placementDefinition.ended(this.#options.placement, send.server, SendOutcome.Cancelled, nowMs)
+    }
+  }
+}
+
+function outcomeOf (result: PlacedResult): SendOutcome {
+  switch (result.kind) {
+    case 'answered': return result.statusCode >= 500 ? SendOutcome.Failed : SendOutcome.Served
+    case 'not_run': {
+      if (result.reachedBackend) return SendOutcome.Shed
+      return result.reason === RefusalReason.ConnectFailed ? SendOutcome.Lost : SendOutcome.Refused
+    }
+    case 'unknown': return SendOutcome.Lost
+  }
+}
--- /dev/null
+++ b/src/mesh/executor.ts
@@ -0,0 +1,193 @@
+import type { Clock, Millis } from '../clock/clock.js'
+import type { LoadReport } from '../core/placement/placementTypes.js'
+import type { SlotsDb } from '../core/slots/slotsDb.js'
+import { slotsDefinition } from '../core/slots/slotsDefinition.js'
+import type { SlotRefusal, Waiting } from '../core/slots/slotsTypes.js'
+import type { Exchange, ExchangePool, ExchangeResult } from '../http/exchangePool.js'
+import type { BackendDialect } from './backendDialect.js'
+import { LossReason, RefusalReason, type PlacedCall, type PlacedHandle, type PlacedListener, type PlacedResult } from './meshTypes.js'
+import type { NodeLog } from './nodeLog.js'
+
+/** A call with less time left than this cannot be answered in time. */
+const REMAINING_MIN_MS: Millis = 2
+
+export interface ExecutorOptions {
+  readonly clock: Clock
+  readonly serviceName: string
+  readonly pool: ExchangePool
+  readonly dialect: BackendDialect
+  readonly slots: SlotsDb
+  readonly log: NodeLog
+}
+
+type Stage = 'waiting' | 'running' | 'ended'
+
+/** One call at the own backend server. */
+class Execution implements PlacedHandle {
+  readonly #executor: Executor
+  readonly call: PlacedCall
+  readonly listener: PlacedListener
+  readonly #receivedAtMs: Millis
+  readonly #waiting: Waiting
+  #stage: Stage = 'waiting'
+  #exchange: Exchange | undefined
+
+  constructor (executor: Executor, call: PlacedCall, listener: PlacedListener) {
+    this.#executor = executor
+    this.call = call
+    this.listener = listener
+    this.#receivedAtMs = executor.options.clock.monotonicMs()
+    this.#waiting = {
+      call: {
+        rank: call.rank,
+        arrivedAtMs: this.#receivedAtMs,
+        startByMs: this.#receivedAtMs + Math.min(call.waitMaxMs, call.remainingMs)
+      },
+      start: () => this.#start(),
+      refuse: reason => this.#refuse(reason)
+    }
+  }
+
+  offer (nowMs: Millis): void {
+    slotsDefinition.offer(this.#executor.options.slots, this.#waiting, nowMs)
+  }
+
+  cancel (): void {
+    const { slots, clock } = this.#executor.options
+    if (this.#stage === 'waiting') slotsDefinition.withdraw(slots, this.#waiting)
+    const wasRunning = this.#stage === 'running'
+    this.#stage = 'ended'
+    this.#exchange?.cancel()
+    if (wasRunning) slotsDefinition.release(slots, clock.monotonicMs())
+  }
+
+  /** Writes the request. The time left is checked here, since the process may have been paused before. */
+  #start (): void {
+    const { clock, dialect, pool } = this.#executor.options
+    this.#stage = 'running'
+    const remainingMs = this.call.remainingMs - (clock.monotonicMs() - this.#receivedAtMs)
+    if (remainingMs < REMAINING_MIN_MS) {
+      this.#end({ kind: 'not_run', reason: RefusalReason.DeadlinePassed, reachedBackend: false })
+      return
+    }
+    this.#exchange = pool.send({
+      bytes: dialect.requestBytes(this.call, remainingMs),
+      isHead: this.call.method === 'HEAD',
+      isOwnAnswer: head => dialect.isAnswerOf(head, this.call.requestId),
+      needsFreshConnection: !this.call.isIdempotent,
+      onResult: result => this.#onResult(result)
+    })
+    if (this.#exchange === undefined) {
+      this.#end({ kind: 'not_run', reason: RefusalReason.NoRoom, reachedBackend: false })
+    }
+  }
+
+  #refuse (reason: SlotRefusal): void {
+    this.#stage = 'ended'
+    const isClosed = reason === 'not_accepting'
+    this.#finish({
+      kind: 'not_run', reason: isClosed ? RefusalReason.NotAccepting : RefusalReason.NoRoom, reachedBackend: false
+    })
+  }
+
+  #onResult (result: ExchangeResult): void {
+    if (this.#stage === 'ended') return
+    this.#end(this.#executor.read(result))
+  }
+
+  #end (result: PlacedResult): void {
+    this.#stage = 'ended'
+    // The result goes first: it must not wait for the calls that the free slot starts.
+    this.#finish(result)
+    slotsDefinition.release(this.#executor.options.slots, this.#executor.options.clock.monotonicMs())
+  }
+
+  #finish (result: PlacedResult): void {
+    this.#executor.open.delete(this)
+    this.listener.onResult(result, this.#executor.load())
+  }
+}
+
+/**
+ * The task that runs calls on the own backend server. It alone opens connections
+ * to it, so what it says of slots and of calls that did not run is first-hand.
+ */
+export class Executor {
+  readonly options: ExecutorOptions
+  readonly open = new Set<Execution>()
+  #received: Execution[] = []
+
+  constructor (options: ExecutorOptions) {
+    this.options = options
+  }
+
+  load (): LoadReport {
+    return slotsDefinition.reading(this.options.slots)
+  }
+
+  /**
+   * Takes a call. It starts at the end of this turn of the event loop, so that a
+   * cancellation that was read in the same turn is honoured: after a pause of the
+   * process, calls and their cancellations wait side by side in the sockets.
+   */
+  place (call: PlacedCall, listener: PlacedListener): PlacedHandle {
+    const execution = new Execution(this, call, listener)
+    if (call.serviceName !== this.options.serviceName) {
+      setImmediate(() => listener.onResult({
+        kind: 'not_run', reason: RefusalReason.WrongService, reachedBackend: false
+      }, this.load()))
+      return { cancel: () => {} }
+    }
+    this.open.add(execution)
+    if (this.#received.length === 0) setImmediate(() => this.#offerReceived())
+    this.#received.push(execution)
+    return {
+      cancel: () => {
+        if (!this.open.delete(execution)) return
+        execution.cancel()
+      }
+    }
+  }
+
+  /** Ends the waiting of calls whose time to start has passed. */
+  sweep (): void {
+    slotsDefinition.expire(this.options.slots, this.options.clock.monotonicMs())
+    this.options.pool.sweep()
+  }
+
+  read (result: ExchangeResult): PlacedResult {
+    switch (result.kind) {
+      case 'not_sent': return { kind: 'not_run', reason: RefusalReason.ConnectFailed, reachedBackend: false }
+      case 'broken': {
+        const isMalformed = result.reason === 'malformed answer'
+        return { kind: 'unknown', reason: isMalformed ? LossReason.MalformedAnswer : LossReason.ConnectionLost }
+      }
+      case 'answered': {
+        const answer = this.options.dialect.readAnswer(result.head)
+        if (answer.slotsCount > 0) {
+          slotsDefinition.setSlots(this.options.slots, answer.slotsCount, this.options.clock.monotonicMs())
+        }
+        if (answer.notExecuted) return { kind: 'not_run', reason: RefusalReason.BackendShed, reachedBackend: true }
+        const isSuccess = result.head.statusCode < 300
+        if (answer.isEncoded || (isSuccess && !answer.isSigned)) {
+          return { kind: 'unknown', reason: LossReason.MalformedAnswer }
+        }
+        return {
+          kind: 'answered',
+          statusCode: result.head.statusCode,
+          statusText: result.head.statusText,
+          headerText: answer.headerText,
+          body: result.body,
+          servedMs: result.tookMs
+        }
+      }
+    }
+  }
+
+  #offerReceived (): void {
+    const received = this.#received
+    this.#received = []
+    const nowMs = this.options.clock.monotonicMs()
+    for (const execution of received) if (this.open.has(execution)) execution.offer(nowMs)
+  }
+}
