--- a/src/core/configuration/configurationDefinition.ts
+++ b/src/core/configuration/configurationDefinition.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '../../clock/clock.js'
 import type { RandomSource } from '../coreTypes.js'
-import { clearConfigurationDb, createConfigurationDb, setCurrent, type ConfigurationDb } from './configurationDb.js'
+import { clearConfigurationDb, createConfigurationDb, setCurrent, type ConfigurationDb, type PartCredits } from './configurationDb.js'
 import { isNewer } from './configurationDetector.js'
 import type { Configuration, OfferResult, RouteRule } from './configurationTypes.js'
 
@@ -27,6 +27,22 @@
   return db.rulesByHost.get(host)?.find(rule => path.startsWith(rule.pathPrefix))
 }
 
+/** Steps of the cycle that a node may be ahead at its start; weights are whole percents in practice. */
+const START_STEPS_MAX_COUNT = 100
+
+/** One step of smooth weighted round robin: the part with the greatest credit pays for all. */
+function nextPart (credits: PartCredits, { parts }: RouteRule): string {
+  let best = 0
+  let totalWeight = 0
+  for (let at = 0; at < parts.length; at++) {
+    totalWeight += parts[at]!.weight
+    credits[at]! += parts[at]!.weight
+    if (credits[at]! > credits[best]!) best = at
+  }
+  credits[best]! -= totalWeight
+  return parts[best]!.serviceName
+}
+
 /**
  * Chooses a service by the weights of a route. Smooth weighted round robin keeps
  * the share of each part even over short spans; a random start keeps the nodes
@@ -38,20 +54,13 @@
 function choosePart (db: ConfigurationDb, rule: RouteRule, random: RandomSource): string {
   const { parts } = rule
   if (parts.length === 1) return parts[0]!.serviceName
-  const totalWeight = parts.reduce((sum, part) => sum + part.weight, 0)
   let credits = db.credits.get(rule.name)
   if (credits === undefined || credits.length !== parts.length) {
-    const phase = random()
-    credits = parts.map(part => (phase - 0.5) * part.weight)
+    credits = parts.map(() => 0)
     db.credits.set(rule.name, credits)
+    for (let step = Math.floor(random() * START_STEPS_MAX_COUNT); step > 0; step--) nextPart(credits, rule)
   }
-  let best = 0
-  for (let at = 0; at < parts.length; at++) {
-    credits[at]! += parts[at]!.weight
-    if (credits[at]! > credits[best]!) best = at
-  }
-  credits[best]! -= totalWeight
-  return parts[best]!.serviceName
+  return nextPart(credits, rule)
 }
 
 /** The configuration family: the operator's declarations in force at this node. */
--- /dev/null
+++ b/src/http/messageParser.spec.ts
@@ -0,0 +1,73 @@
+import { MessageParser, type MessageHead } from './messageParser.js'
+
+interface Seen {
+  readonly heads: MessageHead[]
+  readonly bodies: string[]
+  readonly rests: number[]
+}
+
+function parse (kind: 'REQUEST' | 'RESPONSE', chunks: readonly string[]): Seen & { readonly error: string } {
+  const seen: Seen = { heads: [], bodies: [], rests: [] }
+  let body = ''
+  const parser = new MessageParser(kind, {
+    onHead: head => {
+      seen.heads.push(head)
+      body = ''
+      return false
+    },
+    onBody: chunk => { body += chunk.toString('latin1') },
+    onEnd: restBytes => {
+      seen.bodies.push(body)
+      seen.rests.push(restBytes)
+    }
+  }, 1_000)
+  let error = ''
+  for (const chunk of chunks) error ||= parser.read(Buffer.from(chunk, 'latin1'))?.message ?? ''
+  return { ...seen, error }
+}
+
+describe('message parser', () => {
+  test('a request that comes byte by byte reads like one that comes at once', () => {
+    const text = 'POST /a/b?c=1 HTTP/1.1\r\nHost: x.example\r\nContent-Length: 3\r\n\r\nabc'
+    const whole = parse('REQUEST', [text])
+    expect(parse('REQUEST', [...text])).toEqual({ ...whole, rests: [0] })
+    expect(whole).toMatchSnapshot()
+  })
+
+  test.each([
+    ['two lengths', 'Content-Length: 3\r\nContent-Length: 4\r\n'],
+    ['a length that is no number', 'Content-Length: 3x\r\n'],
+    ['a negative length', 'Content-Length: -1\r\n'],
+    ['a length and chunks', 'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n'],
+    ['chunks that are not last', 'Transfer-Encoding: chunked, gzip\r\n'],
+    ['chunks twice', 'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n'],
+    ['a header line without a colon', 'Oops\r\n'],
+    ['a folded header line', 'A: b\r\n c: d\r\n'],
+    ['a space before the colon', 'Content-Length : 3\r\n']
+  ])('a request with %s is refused, since another reader may see another end of it', (_name, lines) => {
+    const { error, bodies } = parse('REQUEST', [`POST / HTTP/1.1\r\nHost: x\r\n${lines}\r\nabc`])
+    expect(error).not.toBe('')
+    expect(bodies).toEqual([])
+  })
+
+  test('a chunk size that is no number does not end the body: a cut answer must not look whole', () => {
+    const { error, bodies } = parse('RESPONSE', ['HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n\r\n'])
+    expect(error).toContain('chunk size')
+    expect(bodies).toEqual([])
+  })
+
+  test('bytes after an answer are counted, so that its connection is not used again', () => {
+    const { rests, bodies } = parse('RESPONSE', ['HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP'])
+    expect({ rests, bodies }).toEqual({ rests: [4], bodies: ['ok'] })
+  })
+
+  test('an answer without a length says so', () => {
+    expect(parse('RESPONSE', ['HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc']).heads[0]?.hasLength).toBe(false)
+  })
+
+  test('a head beyond the bound is refused, also after a message within it', () => {
+    const small = 'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+    const { error } = parse('REQUEST', [small, `GET / HTTP/1.1\r\nA: ${'a'.repeat(1_200)}`])
+    expect(error).toContain('header size')
+  })
+})
--- a/src/mesh/entryTask.ts
+++ b/src/mesh/entryTask.ts
@@ -22,6 +22,7 @@
   type ResultReport
 } from './meshTypes.js'
 import type { LogFields, NodeLog } from './nodeLog.js'
+import type { NodeMetrics } from './nodeMetrics.js'
 
 /** Time given to a request whose caller names none. */
 const PATIENCE_DEFAULT_MS: Millis = 30_000
@@ -52,6 +53,7 @@
   readonly placement: PlacementDb
   readonly secondSends: SecondSendsDb
   readonly chainAdmission: ChainAdmissionDb
+  readonly metrics: NodeMetrics
   /** The call that the own backend server is running for a request id, if any. */
   readonly runningCall: (requestId: string) => Execution | undefined
   /** Hands a call to a server's node, or to the own backend server. */
@@ -186,6 +188,9 @@
           took_ms: Math.round(nowMs - call.arrivedAtMs),
           version: this.#options.configuration.current?.version
         })
+        this.#options.metrics.count('answers', { kind: 'backend', route: call.rule.name })
+        this.#options.metrics.time('request_ms', { route: call.rule.name }, nowMs - call.arrivedAtMs)
+        this.#options.metrics.time('added_ms', {}, nowMs - call.arrivedAtMs - result.servedMs)
         this.#end(call)
         call.incoming.answer(result)
         return
@@ -230,8 +235,10 @@
 
   #mayRepeat (call: EntryCall): boolean {
     const nowMs = this.#options.clock.monotonicMs()
-    return call.reachedCount < call.rule.attemptsMaxCount && nowMs < call.deadlineAtMs &&
-      secondSendsDefinition.take(this.#options.secondSends, call.serviceName, nowMs)
+    if (call.reachedCount >= call.rule.attemptsMaxCount || nowMs >= call.deadlineAtMs) return false
+    const isAllowed = secondSendsDefinition.take(this.#options.secondSends, call.serviceName, nowMs)
+    this.#options.metrics.count('second_sends', { allowed: String(isAllowed), service: call.serviceName })
+    return isAllowed
   }
 
   #onSilent (call: EntryCall, send: Send): void {
@@ -271,6 +278,8 @@
       ...inputs,
       version: configuration.current?.version
     })
+    this.#options.metrics.count('answers', { kind: answer, route: call.rule.name })
+    this.#options.metrics.count('own_answers', { reason })
     this.#end(call)
     const retryAfterMs = answer === OwnAnswer.NotRunRetryLater ? this.#retryAfterMs(call.rule) : null
     call.incoming.answer(dialect.ownAnswer(answer, reason, retryAfterMs))
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -11,6 +11,7 @@
 } from './meshTypes.js'
 import type { CrashGuard } from './crashGuard.js'
 import type { NodeLog } from './nodeLog.js'
+import type { NodeMetrics } from './nodeMetrics.js'
 
 /** A call with less time left than this cannot be answered in time. */
 const REMAINING_MIN_MS: Millis = 2
@@ -23,6 +24,7 @@
   readonly slots: SlotsDb
   readonly crashGuard: CrashGuard
   readonly log: NodeLog
+  readonly metrics: NodeMetrics
 }
 
 type Stage = 'waiting' | 'running' | 'ended'
@@ -126,6 +128,7 @@
 
   #finish (result: PlacedResult): void {
     this.#executor.forget(this)
+    this.#executor.options.metrics.count('runs', { result: result.kind === 'answered' ? 'answered' : result.reason })
     const slotMs = this.#startedAtMs === 0 ? 0 : this.#executor.options.clock.monotonicMs() - this.#startedAtMs
     this.listener.onResult(result, this.#executor.report(slotMs, [...this.#usageBelow.values()]))
   }
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -1,31 +1,28 @@
 import { randomBytes } from 'node:crypto'
-import type { Clock, Millis } from '../clock/clock.js'
+import type { Millis } from '../clock/clock.js'
 import { chainAdmissionDefinition } from '../core/chainAdmission/chainAdmissionDefinition.js'
 import { configurationDefinition } from '../core/configuration/configurationDefinition.js'
 import type { CallerLimits } from '../core/configuration/configurationTypes.js'
-import type { RandomSource } from '../core/coreTypes.js'
 import { discoveryDefinition } from '../core/discovery/discoveryDefinition.js'
 import { ServerState, type ListedServer, type ListEvent } from '../core/discovery/discoveryTypes.js'
 import { placementDefinition } from '../core/placement/placementDefinition.js'
 import { secondSendsDefinition } from '../core/secondSends/secondSendsDefinition.js'
-import type { SecondSendsSettings } from '../core/secondSends/secondSendsTypes.js'
 import { slotsDefinition } from '../core/slots/slotsDefinition.js'
 import { CallerServer } from '../http/callerServer.js'
 import { ExchangePool } from '../http/exchangePool.js'
-import type { BackendDialect } from './backendDialect.js'
-import { OwnAnswer, type CallerDialect } from './callerDialect.js'
+import { OwnAnswer } from './callerDialect.js'
 import { CrashGuard } from './crashGuard.js'
 import { EntryTask } from './entryTask.js'
 import { Executor } from './executor.js'
 import type { Hello } from './frames.js'
+import type { MeshNodeOptions } from './meshNodeTypes.js'
 import type { PlacedCall, PlacedHandle, PlacedListener } from './meshTypes.js'
-import type { NodeLog } from './nodeLog.js'
+import { NodeMetrics } from './nodeMetrics.js'
 import { encodeNotice } from './notices.js'
 import { PeerMesh } from './peerMesh.js'
 import { PeerServer } from './peerServer.js'
-import type { PlatformStore } from './platformStore.js'
 import { PublishedTask } from './publishedTask.js'
-import { createReadyServer } from './readyServer.js'
+import { createPageServer } from './pageServer.js'
 
 /** Bounds until a configuration states them. */
 const LIMITS_BEFORE_CONFIGURATION: CallerLimits = {
@@ -57,38 +54,6 @@
   503: OwnAnswer.NotRunRetryLater
 } as const
 
-export interface Endpoint {
-  readonly ip: string
-  readonly port: number
-}
-
-/** Where a node runs and what it talks to. */
-export interface MeshNodeSettings {
-  readonly nodeName: string
-  readonly ip: string
-  readonly dataCentre: string
-  readonly serviceName: string
-  readonly backend: Endpoint
-  readonly peerListen: Endpoint
-  readonly callerListen: Endpoint
-  readonly readyListen: Endpoint
-  readonly readyPath: string
-  readonly descriptorsMaxCount: number
-  readonly stopGraceMs: Millis
-  readonly secondSends: SecondSendsSettings
-}
-
-export interface MeshNodeOptions {
-  readonly settings: MeshNodeSettings
-  readonly clock: Clock
-  readonly random: RandomSource
-  readonly log: NodeLog
-  readonly store: PlatformStore
-  readonly callerDialect: CallerDialect
-  readonly backendDialect: BackendDialect
-  readonly onStopped: () => void
-}
-
 /** One node: the tasks of a process beside a backend server, and the state they share. */
 export class MeshNode {
   readonly #options: MeshNodeOptions
@@ -107,6 +72,9 @@
   readonly #callers: CallerServer
   readonly #peers: PeerServer
   readonly #ready: CallerServer
+  readonly #metricsServer: CallerServer | null
+  readonly #metrics = new NodeMetrics()
+  #sweepTimer: NodeJS.Timeout | null = null
   #isStopping = false
   #stopStartedAtMs: Millis = 0
 
@@ -147,7 +115,8 @@
       dialect: options.backendDialect,
       slots: this.#slots,
       crashGuard: this.#crashGuard,
-      log
+      log,
+      metrics: this.#metrics
     })
     this.#entry = new EntryTask({
       clock,
@@ -159,6 +128,7 @@
       placement: this.#placement,
       secondSends: this.#secondSends,
       chainAdmission: this.#chainAdmission,
+      metrics: this.#metrics,
       runningCall: requestId => this.#executor.running.get(requestId),
       place: (server, call, listener) => this.#place(server, call, listener)
     })
@@ -176,13 +146,24 @@
         this.#published.greet(hello.ip)
       }
     })
-    this.#ready = createReadyServer({
+    this.#ready = createPageServer({
       host: settings.readyListen.ip,
       port: settings.readyListen.port,
       clock,
-      path: settings.readyPath,
-      isReady: () => this.#isReady()
+      answer: path => {
+        if (path !== settings.readyPath) return { statusCode: 404, text: '' }
+        return { statusCode: this.isReady ? 200 : 503, text: '' }
+      }
     })
+    this.#metricsServer = settings.metricsListen === null
+      ? null
+      : createPageServer({
+        host: settings.metricsListen.ip,
+        port: settings.metricsListen.port,
+        clock,
+        answer: () => ({ statusCode: 200, text: this.#metrics.text() })
+      })
+    this.#addGauges()
     this.#published = new PublishedTask({
       clock,
       random,
@@ -205,8 +186,10 @@
   async start (): Promise<void> {
     const { settings, log } = this.#options
     this.#published.start()
-    await Promise.all([this.#callers.listen(), this.#peers.listen(), this.#ready.listen()])
-    setInterval(() => this.#sweep(), SWEEP_PERIOD_MS)
+    await Promise.all([
+      this.#callers.listen(), this.#peers.listen(), this.#ready.listen(), this.#metricsServer?.listen()
+    ])
+    this.#sweepTimer = setInterval(() => this.#sweep(), SWEEP_PERIOD_MS)
     log.event('started', {
       node: settings.nodeName,
       service: settings.serviceName,
@@ -253,10 +236,52 @@
     onStopped()
   }
 
-  #isReady (): boolean {
+  /** Whether the node takes new work: it knows what to do with it and does not stop. */
+  get isReady (): boolean {
     return !this.#isStopping && this.#configuration.current !== null && this.#discovery.revision >= 0
   }
 
+  /** Backend servers that the node knows of. */
+  get serversCount (): number {
+    return this.#discovery.servers.size
+  }
+
+  /** Version of the configuration in force, or 0. */
+  get configurationVersion (): number {
+    return this.#configuration.current?.version ?? 0
+  }
+
+  /** Ends the node at once, as a crash does: open requests are cut. */
+  abort (): void {
+    if (this.#sweepTimer !== null) clearInterval(this.#sweepTimer)
+    this.#published.stop()
+    this.#mesh.close()
+    this.#peers.abort()
+    this.#executor.options.pool.closeAll()
+    for (const server of [this.#callers, this.#ready, this.#metricsServer]) {
+      server?.close()
+      server?.destroyAll()
+    }
+  }
+
+  #addGauges (): void {
+    const { clock } = this.#options
+    const gauges: Readonly<Record<string, () => number>> = {
+      configuration_version: () => this.configurationVersion,
+      list_revision: () => this.#discovery.revision,
+      list_age_ms: () => Math.round(clock.monotonicMs() - this.#discovery.freshAtMs),
+      servers_listed: () => this.#discovery.servers.size,
+      peer_links: () => this.#mesh.linksCount,
+      requests_open: () => this.#entry.openCount,
+      caller_connections: () => this.#callers.connectionsCount,
+      backend_running: () => this.#slots.runningCount,
+      backend_queued: () => this.#slots.queue.length,
+      backend_slots_used_limit: () => this.#executor.report().load.limitCount,
+      resident_bytes: () => process.memoryUsage.rss()
+    }
+    for (const [name, read] of Object.entries(gauges)) this.#metrics.gauge(name, read)
+  }
+
   #backendPool (): ExchangePool {
     const { settings, clock } = this.#options
     return new ExchangePool({
--- /dev/null
+++ b/src/mesh/meshNodeTypes.ts
@@ -0,0 +1,41 @@
+import type { Clock, Millis } from '../clock/clock.js'
+import type { RandomSource } from '../core/coreTypes.js'
+import type { SecondSendsSettings } from '../core/secondSends/secondSendsTypes.js'
+import type { BackendDialect } from './backendDialect.js'
+import type { CallerDialect } from './callerDialect.js'
+import type { NodeLog } from './nodeLog.js'
+import type { PlatformStore } from './platformStore.js'
+
+export interface Endpoint {
+  readonly ip: string
+  readonly port: number
+}
+
+/** Where a node runs and what it talks to. */
+export interface MeshNodeSettings {
+  readonly nodeName: string
+  readonly ip: string
+  readonly dataCentre: string
+  readonly serviceName: string
+  readonly backend: Endpoint
+  readonly peerListen: Endpoint
+  readonly callerListen: Endpoint
+  readonly readyListen: Endpoint
+  readonly readyPath: string
+  /** Where metrics are served, if anywhere. */
+  readonly metricsListen: Endpoint | null
+  readonly descriptorsMaxCount: number
+  readonly stopGraceMs: Millis
+  readonly secondSends: SecondSendsSettings
+}
+
+export interface MeshNodeOptions {
+  readonly settings: MeshNodeSettings
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly log: NodeLog
+  readonly store: PlatformStore
+  readonly callerDialect: CallerDialect
+  readonly backendDialect: BackendDialect
+  readonly onStopped: () => void
+}
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -104,6 +104,13 @@
     for (const session of this.#sessions.values()) session.socket?.end()
   }
 
+  /** Drops all connections at once. */
+  abort (): void {
+    if (this.#sweepTimer !== null) clearInterval(this.#sweepTimer)
+    this.#server.close()
+    for (const session of this.#sessions.values()) session.socket?.destroy()
+  }
+
   #accept (socket: Socket): void {
     let session: Session | null = null
     const frames = new FrameSocket(socket, frame => {
--- a/src/mesh/publishedTask.ts
+++ b/src/mesh/publishedTask.ts
@@ -79,6 +79,10 @@
     this.#storeTask.start()
   }
 
+  stop (): void {
+    this.#storeTask.stop()
+  }
+
   /** Takes a notice of another node. */
   receive (text: string, fromIp: string): void {
     this.#spread.receive(text, fromIp)
