--- a/src/core/chainAdmission/chainAdmissionDefinition.ts
+++ b/src/core/chainAdmission/chainAdmissionDefinition.ts
@@ -6,7 +6,7 @@
 import { admittedRatioOf, isCurrent, isPartOfChain } from './chainAdmissionDetector.js'
 import type { ChainAdmissionSettings, RootQuestion, RootVerdict, ServiceUsage } from './chainAdmissionTypes.js'
 
-export const chainAdmissionDefaults: ChainAdmissionSettings = { targetRatio: 0.9, gainPerS: 2.5, floorRatio: 0.08 }
+export const chainAdmissionDefaults: ChainAdmissionSettings = { targetRatio: 1, gainPerS: 2, floorRatio: 0.08 }
 
 /** Weight of one finished request in the mean cost of its route. */
 const COST_WEIGHT_RATIO = 0.05
--- a/src/core/slots/slotsDefinition.spec.ts
+++ b/src/core/slots/slotsDefinition.spec.ts
@@ -9,7 +9,7 @@
 }
 
 function open (slotsCount: number): Opened {
-  const db = family.createDb({ usedSlotsRatio: 1, queueRatio: 1 })
+  const db = family.createDb({ usedSlotsRatio: 1, queueRatio: 1, rankDelayMs: 0.2 })
   const log: string[] = []
   family.setSlots(db, slotsCount, 0)
   return {
@@ -34,7 +34,7 @@
     offer('new', 100)
     offer('sub', 0)
     offer('sub-2', 0)
-    for (let at = 0; at < 3; at++) family.release(db, 1)
+    for (let at = 0; at < 3; at++) family.release(db, 1, 1)
     expect(log).toEqual(['start a', 'start b', 'start c', 'start sub', 'start sub-2', 'start new'])
   })
 
@@ -50,7 +50,7 @@
     const { db, log, offer } = open(1)
     offer('a', 100)
     offer('late', 100, 50)
-    family.release(db, 60)
+    family.release(db, 60, 60)
     expect(log).toEqual(['start a', 'refuse late wait_too_long'])
   })
 
@@ -59,7 +59,7 @@
     offer('a', 100)
     const waiting = offer('gone', 100)
     expect(family.withdraw(db, waiting)).toBe(true)
-    family.release(db, 1)
+    family.release(db, 1, 1)
     expect(log).toEqual(['start a'])
   })
 
--- a/src/core/slots/slotsDefinition.ts
+++ b/src/core/slots/slotsDefinition.ts
@@ -4,24 +4,35 @@
 import { hasRoom, limitCount } from './slotsDetector.js'
 import { SlotRefusal, type SlotsSettings, type Waiting } from './slotsTypes.js'
 
-export const slotsDefaults: SlotsSettings = { usedSlotsRatio: 0.95, queueRatio: 0.5 }
+export const slotsDefaults: SlotsSettings = { usedSlotsRatio: 0.95, queueRatio: 1, rankDelayMs: 0.2 }
 
-/** Time over which the utilization is averaged: short beside the time that a chain of calls takes. */
-const UTILIZATION_TIME_MS: Millis = 100
+/** Time over which load is averaged: short beside the time that a chain of calls takes. */
+const LOAD_TIME_MS: Millis = 150
+/** Weight of one call in the mean slot time. */
+const SLOT_TIME_WEIGHT_RATIO = 0.05
+/** Time within which waiting calls are to be worked off. */
+const QUEUE_DRAIN_MS: Millis = 300
 
-/** Brings the averaged utilization up to this moment, before the counts change. */
+/** Brings the averages up to this moment, before the counts change. */
 function countUp (db: SlotsDb, nowMs: Millis): void {
   const elapsedMs = nowMs - db.countedAtMs
   if (elapsedMs <= 0) return
-  const keep = Math.exp(-elapsedMs / UTILIZATION_TIME_MS)
-  const presentRatio = (db.runningCount + db.queue.length) / limitCount(db)
-  db.utilizationRatio = db.utilizationRatio * keep + presentRatio * (1 - keep)
+  const keep = Math.exp(-elapsedMs / LOAD_TIME_MS)
+  db.occupancyRatio = db.occupancyRatio * keep + db.runningCount / limitCount(db) * (1 - keep)
+  db.offeredPerMs *= keep
   db.countedAtMs = nowMs
 }
 
-function insert (queue: Waiting[], waiting: Waiting): void {
+/** A rank is worth some waiting time: without a bound the lower ranks would starve behind a short queue. */
+function orderOf (db: SlotsDb, { call }: Waiting): Millis {
+  return call.arrivedAtMs + call.rank * db.settings.rankDelayMs
+}
+
+function insert (db: SlotsDb, waiting: Waiting): void {
+  const { queue } = db
+  const order = orderOf(db, waiting)
   let at = queue.length
-  while (at > 0 && queue[at - 1]!.call.rank > waiting.call.rank) at--
+  while (at > 0 && orderOf(db, queue[at - 1]!) > order) at--
   queue.splice(at, 0, waiting)
 }
 
@@ -48,7 +59,8 @@
     return
   }
   countUp(db, nowMs)
-  insert(db.queue, waiting)
+  db.offeredPerMs += 1 / LOAD_TIME_MS
+  insert(db, waiting)
   fill(db, nowMs)
   const queueMaxCount = Math.max(1, Math.floor(limitCount(db) * db.settings.queueRatio))
   if (db.queue.length <= queueMaxCount) return
@@ -56,9 +68,10 @@
   last.refuse(last === waiting ? SlotRefusal.QueueFull : SlotRefusal.Displaced)
 }
 
-/** Gives a slot back. */
-function release (db: SlotsDb, nowMs: Millis): void {
+/** Gives a slot back that was held for `slotMs`. */
+function release (db: SlotsDb, slotMs: Millis, nowMs: Millis): void {
   countUp(db, nowMs)
+  db.slotMs = db.slotMs === 0 ? slotMs : db.slotMs + (slotMs - db.slotMs) * SLOT_TIME_WEIGHT_RATIO
   db.runningCount = Math.max(0, db.runningCount - 1)
   fill(db, nowMs)
 }
@@ -93,10 +106,15 @@
   for (const waiting of db.queue.splice(0)) waiting.refuse(SlotRefusal.NotAccepting)
 }
 
-/** Share of the room that is taken, averaged over a short time. */
+/**
+ * Load as a share of the room: the work offered, or the slots taken if that is
+ * more. The length of the queue would be no measure for those who decide what
+ * gets in: it adds up small excesses, and their reaction arrives much later.
+ */
 function utilization (db: SlotsDb, nowMs: Millis): number {
   countUp(db, nowMs)
-  return db.utilizationRatio
+  const queuedWork = db.queue.length / QUEUE_DRAIN_MS
+  return Math.max(db.occupancyRatio, (db.offeredPerMs + queuedWork) * db.slotMs / limitCount(db))
 }
 
 function reading (db: SlotsDb): LoadReport {
--- a/src/core/slots/slotsTypes.ts
+++ b/src/core/slots/slotsTypes.ts
@@ -2,7 +2,7 @@
 
 /** A call that wants a slot of the backend server. */
 export interface SlotCall {
-  /** Order among waiting calls: the lowest goes first. */
+  /** The lower it is, the sooner the call starts among those that wait. */
   readonly rank: number
   readonly arrivedAtMs: Millis
   /** A call that has not started by then is refused. */
@@ -21,6 +21,8 @@
   readonly usedSlotsRatio: number
   /** Calls that may wait, as a share of the slots. */
   readonly queueRatio: number
+  /** Waiting time that one rank is worth. */
+  readonly rankDelayMs: Millis
 }
 
 export interface Waiting {
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -67,7 +67,7 @@
     const wasRunning = this.#stage === 'running'
     this.#stage = 'ended'
     this.#exchange?.cancel()
-    if (wasRunning) slotsDefinition.release(slots, clock.monotonicMs())
+    if (wasRunning) slotsDefinition.release(slots, clock.monotonicMs() - this.#startedAtMs, clock.monotonicMs())
   }
 
   /** Writes the request. The time left is checked here, since the process may have been paused before. */
@@ -123,7 +123,8 @@
     this.#stage = 'ended'
     // The result goes first: it must not wait for the calls that the free slot starts.
     this.#finish(result)
-    slotsDefinition.release(this.#executor.options.slots, this.#executor.options.clock.monotonicMs())
+    const nowMs = this.#executor.options.clock.monotonicMs()
+    slotsDefinition.release(this.#executor.options.slots, nowMs - this.#startedAtMs, nowMs)
   }
 
   #finish (result: PlacedResult): void {
