Take changes of the server list only when they follow on what is known

Cause: a node that had been cut off took a notice whose changes began after a gap, since its routing revision had moved with an entry that it dropped itself; it then never learnt of the changes in the gap. Changed: a notice names the revision after which its changes are all; a receiver behind it asks for the whole list. Lapsed entries that are dropped are told to the others. Tests: two of discovery, failing before.

--- a/src/core/discovery/discoveryDb.ts
+++ b/src/core/discovery/discoveryDb.ts
@@ -6,10 +6,8 @@
   byService: Map<string, ListedServer[]>
   /** Latest server at each `ip:port`. */
   byAddress: Map<string, ListedServer>
-  /** Revision of the store up to which the list is known; -1 before the first read. */
+  /** Revision of the store up to which every change that matters to routing is known; -1 before the first read. */
   revision: number
-  /** Revision of the last change that matters to routing; heartbeats alone do not. */
-  routingRevision: number
   /** When the newest word on the list left the store, by this node's clock. */
   freshAtMs: Millis
   /** Revision at which an entry was removed, so that an older copy from a peer does not bring it back. */
@@ -35,7 +33,6 @@
     byService: new Map(),
     byAddress: new Map(),
     revision: -1,
-    routingRevision: -1,
     freshAtMs: -Infinity,
     removedAtRevision: new Map(),
     lapsedUntilMs: new Map()
@@ -48,7 +45,6 @@
   db.byService = new Map()
   db.byAddress = new Map()
   db.revision = -1
-  db.routingRevision = -1
   db.freshAtMs = -Infinity
   db.removedAtRevision.clear()
   db.lapsedUntilMs.clear()
--- a/src/core/discovery/discoveryDefinition.spec.ts
+++ b/src/core/discovery/discoveryDefinition.spec.ts
@@ -1,5 +1,5 @@
-import { discoveryDefinition as family } from './discoveryDefinition.js'
-import { ServerState, type ListedServer } from './discoveryTypes.js'
+import { discoveryDefinition as family, type ListChanges } from './discoveryDefinition.js'
+import { ServerState, type ListedChange, type ListedServer } from './discoveryTypes.js'
 import { readAfterMs, READ_PERIOD_MS } from './readPlan.js'
 
 function server (serverId: string, revision: number, change: Partial<ListedServer> = {}): ListedServer {
@@ -19,25 +19,49 @@
   }
 }
 
+/** Changes up to a revision that follow on anything known. */
+function changes (revision: number, list: readonly ListedChange[]): ListChanges {
+  return { afterRevision: -1, revision, changes: list }
+}
+
 function shown (events: ReturnType<typeof family.takeSnapshot>): string[] {
   return events.map(event => `${event.kind} ${event.server.serverId}`)
 }
 
 describe('discovery family', () => {
-  test('heartbeats alone are no events and do not move the routing revision', () => {
+  test('heartbeats alone are no events', () => {
     const db = family.createDb()
     family.takeSnapshot(db, { revision: 5, servers: [server('1', 3)] }, 0)
-    const events = family.takeChanges(db, [{ kind: 'written', server: server('1', 6) }], 6, 100)
-    expect({ events, routing: db.routingRevision, revision: db.revision })
-      .toEqual({ events: [], routing: 3, revision: 6 })
+    const events = family.takeChanges(db, changes(6, [{ kind: 'written', server: server('1', 6) }]), 100)
+    expect({ events, revision: db.revision }).toEqual({ events: [], revision: 6 })
+  })
+
+  test('changes that leave a gap behind what is known are not taken, so no change in the gap is missed for good', () => {
+    const db = family.createDb()
+    family.takeSnapshot(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
+    const later = { afterRevision: 8, revision: 9, changes: [{ kind: 'written' as const, server: server('3', 9) }] }
+    expect(family.follows(db, later)).toBe(false)
+    expect(shown(family.takeChanges(db, later, 100))).toEqual([])
+    expect(db.revision).toBe(5)
+    expect(shown(family.takeSnapshot(db, { revision: 9, servers: [server('2', 4), server('3', 9)] }, 150)))
+      .toEqual(['joined 3', 'left 1'])
+  })
+
+  test('a node that was cut off and drops lapsed entries still takes the list of those that were not', () => {
+    const db = family.createDb()
+    family.takeSnapshot(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
+    family.takeSnapshot(db, { revision: 9, servers: [server('2', 4)] }, 9_000)
+    expect(shown(family.expireLapsed(db, 12_000))).toEqual(['left 1'])
+    const back = { afterRevision: 9, revision: 12, changes: [{ kind: 'written' as const, server: server('1', 12) }] }
+    expect(shown(family.takeChanges(db, back, 12_100))).toEqual(['joined 1'])
   })
 
   test('an older copy from a peer neither brings back a removed server nor hides a new one', () => {
     const db = family.createDb()
     family.takeSnapshot(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
-    family.takeChanges(db, [{ kind: 'removed', serverId: '1', revision: 7 }], 7, 100)
+    family.takeChanges(db, changes(7, [{ kind: 'removed', serverId: '1', revision: 7 }]), 100)
     expect(shown(family.takeSnapshot(db, { revision: 6, servers: [server('1', 3)] }, 200))).toEqual([])
-    expect(shown(family.takeChanges(db, [{ kind: 'written', server: server('1', 6) }], 6, 200))).toEqual([])
+    expect(shown(family.takeChanges(db, changes(6, [{ kind: 'written', server: server('1', 6) }]), 200))).toEqual([])
     expect(family.serversOf(db, 'depot').map(entry => entry.serverId)).toEqual(['2'])
   })
 
@@ -48,7 +72,7 @@
     family.takeSnapshot(db, { revision: 8, servers: [next, old] }, 0)
     expect(family.serverAt(db, '10.0.0.9', 80)?.serverId).toBe('2')
     expect(family.serversOf(db, 'depot').map(entry => entry.serverId)).toEqual(['2'])
-    family.takeChanges(db, [{ kind: 'removed', serverId: '1', revision: 9 }], 9, 100)
+    family.takeChanges(db, changes(9, [{ kind: 'removed', serverId: '1', revision: 9 }]), 100)
     expect(family.serverAt(db, '10.0.0.9', 80)?.serverId).toBe('2')
   })
 
@@ -73,15 +97,15 @@
     const db = family.createDb()
     family.takeSnapshot(db, { revision: 5, servers: [server('1', 3)] }, 0)
     family.takeSnapshot(db, { revision: 9, servers: [] }, 6_000)
-    family.takeChanges(db, [{ kind: 'written', server: server('1', 10) }], 10, 7_000)
+    family.takeChanges(db, changes(10, [{ kind: 'written', server: server('1', 10) }]), 7_000)
     expect(shown(family.expireLapsed(db, 9_000))).toEqual([])
-    expect(shown(family.takeChanges(db, [{ kind: 'removed', serverId: '1', revision: 12 }], 12, 7_500))).toEqual(['left 1'])
+    expect(shown(family.takeChanges(db, changes(12, [{ kind: 'removed', serverId: '1', revision: 12 }]), 7_500))).toEqual(['left 1'])
   })
 
   test('a removal without an outage holds at once', () => {
     const db = family.createDb()
     family.takeSnapshot(db, { revision: 5, servers: [server('1', 3)] }, 0)
-    expect(shown(family.takeChanges(db, [{ kind: 'removed', serverId: '1', revision: 6 }], 6, 600))).toEqual(['left 1'])
+    expect(shown(family.takeChanges(db, changes(6, [{ kind: 'removed', serverId: '1', revision: 6 }]), 600))).toEqual(['left 1'])
   })
 
   test('an entry that cannot be read any more leaves what was known of its server', () => {
--- a/src/core/discovery/discoveryDefinition.ts
+++ b/src/core/discovery/discoveryDefinition.ts
@@ -33,7 +33,6 @@
   db.lapsedUntilMs.delete(server.serverId)
   db.servers.set(server.serverId, server)
   if (!mattersToRouting(before, server)) return
-  db.routingRevision = Math.max(db.routingRevision, server.revision)
   events.push(eventOf(before, server))
 }
 
@@ -53,8 +52,7 @@
   db.lapsedUntilMs.delete(serverId)
   db.servers.delete(serverId)
   noteRemoval(db, serverId, revision)
-  db.routingRevision = Math.max(db.routingRevision, revision)
-  events.push({ kind: 'left', server: before })
+  events.push({ kind: 'left', server: before, revision })
 }
 
 function finish ({ db, events, readAtMs }: Update, revision: number): ListEvent[] {
@@ -85,11 +83,23 @@
   return finish(update, snapshot.revision)
 }
 
-/** Takes the changes up to a revision that a watch of the store or a peer reports. */
-function takeChanges (
-  db: DiscoveryDb, changes: readonly ListedChange[], revision: number, readAtMs: Millis
-): ListEvent[] {
+/** Changes after one revision of the store up to another one, from a watch or from a peer that has read them. */
+export interface ListChanges {
+  readonly afterRevision: number
+  readonly revision: number
+  readonly changes: readonly ListedChange[]
+}
+
+/** Whether changes follow on what is known; if not, the whole list is needed. */
+function follows (db: DiscoveryDb, { afterRevision }: ListChanges): boolean {
+  return db.revision >= afterRevision
+}
+
+/** Takes changes that follow on what is known. Others change nothing. */
+function takeChanges (db: DiscoveryDb, list: ListChanges, readAtMs: Millis): ListEvent[] {
   const update = begin(db, readAtMs)
+  if (!follows(db, list)) return update.events
+  const { changes, revision } = list
   for (const change of changes) {
     if (change.kind === 'written') write(update, change.server)
     else remove(update, change.serverId, change.revision)
@@ -106,9 +116,7 @@
     db.lapsedUntilMs.delete(serverId)
     if (server === undefined) continue
     db.servers.delete(serverId)
-    noteRemoval(db, serverId, db.revision)
-    db.routingRevision = Math.max(db.routingRevision, db.revision)
-    events.push({ kind: 'left', server })
+    events.push({ kind: 'left', server, revision: db.revision })
   }
   if (events.length > 0) indexServers(db)
   return events
@@ -134,6 +142,7 @@
   createDb: createDiscoveryDb,
   clear: clearDiscoveryDb,
   takeSnapshot,
+  follows,
   takeChanges,
   expireLapsed,
   serversOf,
--- a/src/core/discovery/discoveryTypes.ts
+++ b/src/core/discovery/discoveryTypes.ts
@@ -38,4 +38,4 @@
   | { readonly kind: 'joined', readonly server: ListedServer }
   | { readonly kind: 'draining', readonly server: ListedServer }
   | { readonly kind: 'replaced', readonly server: ListedServer }
-  | { readonly kind: 'left', readonly server: ListedServer }
+  | { readonly kind: 'left', readonly server: ListedServer, readonly revision: number }
--- a/src/mesh/notices.ts
+++ b/src/mesh/notices.ts
@@ -7,10 +7,10 @@
   /** News from the store, from the node that read it. */
   | {
     readonly method: 'published'
+    /** The changes are all that matter after this revision of the store; a receiver behind it asks for the whole. */
+    readonly afterRevision: number
     /** Revision up to which the sender knows the list. */
     readonly revision: number
-    /** Last change that matters to routing before these changes; a receiver that is behind it asks for the whole. */
-    readonly sinceRoutingRevision: number
     readonly ageMs: Millis
     readonly configurationVersion: number
     readonly changes: readonly ListedChange[]
@@ -76,7 +76,7 @@
 function isProper (method: string, params: Table): boolean {
   switch (method) {
     case 'published':
-      return ['revision', 'sinceRoutingRevision', 'ageMs', 'configurationVersion'].every(name => isNumber(params[name])) &&
+      return ['revision', 'afterRevision', 'ageMs', 'configurationVersion'].every(name => isNumber(params[name])) &&
         isListOf(params['changes'], isChange)
     case 'want': return typeof params['list'] === 'boolean' && typeof params['configuration'] === 'boolean'
     case 'snapshot':
--- a/src/mesh/platformStore.ts
+++ b/src/mesh/platformStore.ts
@@ -41,6 +41,7 @@
 
 /** What changed since a revision. */
 export interface PublishedChanges {
+  readonly afterRevision: number
   readonly revision: number
   readonly changes: readonly ListedChange[]
   readonly configuration: Configuration | null
--- a/src/mesh/publishedTask.ts
+++ b/src/mesh/publishedTask.ts
@@ -63,9 +63,7 @@
       configurationText: () => this.#configurationText,
       sendTo: options.sendTo,
       sendToAll: options.sendToAll,
-      onChanges: (changes, revision, readAtMs) => {
-        this.#apply(discoveryDefinition.takeChanges(discovery, changes, revision, readAtMs))
-      },
+      onChanges: (changes, readAtMs) => this.#apply(discoveryDefinition.takeChanges(discovery, changes, readAtMs)),
       onSnapshot: (revision, servers, readAtMs) => {
         this.#apply(discoveryDefinition.takeSnapshot(discovery, { revision, servers }, readAtMs))
       },
@@ -93,8 +91,12 @@
     this.#spread.greet(ip)
   }
 
+  /** Drops servers whose entries lapsed during an outage; other nodes may not have seen the outage, so they are told. */
   sweep (): void {
-    this.#apply(discoveryDefinition.expireLapsed(this.#options.discovery, this.#options.clock.monotonicMs()))
+    const { clock, discovery } = this.#options
+    const events = discoveryDefinition.expireLapsed(discovery, clock.monotonicMs())
+    this.#apply(events)
+    if (events.length > 0) this.#tell(false, events, discovery.revision, discovery.freshAtMs)
   }
 
   #apply (events: readonly ListEvent[]): void {
@@ -107,26 +109,26 @@
     const { discovery } = this.#options
     this.#logRefused(state.refused)
     const isNew = this.#takeConfiguration(state.configuration, state.configurationText, 'store')
-    const sinceRoutingRevision = discovery.routingRevision
+    const afterRevision = discovery.revision
     const keptIds = state.refused.map(({ serverId }) => serverId)
     const events = discoveryDefinition.takeSnapshot(discovery, state, readAtMs, keptIds)
     this.#apply(events)
-    this.#tell(isNew, events, sinceRoutingRevision, readAtMs)
+    this.#tell(isNew, events, afterRevision, readAtMs)
   }
 
   #takeRead (read: PublishedChanges, readAtMs: Millis): void {
     const { discovery } = this.#options
     this.#logRefused(read.refused)
     const isNew = this.#takeConfiguration(read.configuration, read.configurationText, 'store')
-    const sinceRoutingRevision = discovery.routingRevision
-    const events = discoveryDefinition.takeChanges(discovery, read.changes, read.revision, readAtMs)
+    const afterRevision = discovery.revision
+    const events = discoveryDefinition.takeChanges(discovery, read, readAtMs)
     this.#apply(events)
-    this.#tell(isNew, events, sinceRoutingRevision, readAtMs)
+    this.#tell(isNew, events, afterRevision, readAtMs)
   }
 
-  #tell (hasNewConfiguration: boolean, events: readonly ListEvent[], since: number, readAtMs: Millis): void {
+  #tell (hasNewConfiguration: boolean, events: readonly ListEvent[], afterRevision: number, readAtMs: Millis): void {
     if (hasNewConfiguration) this.#spread.tellConfiguration()
-    this.#spread.tell(events.map(event => changeOf(event, this.#options.discovery.routingRevision)), since, readAtMs)
+    this.#spread.tell(events.map(changeOf), afterRevision, readAtMs)
   }
 
   #takePeerConfiguration (text: string, fromIp: string): void {
@@ -160,8 +162,8 @@
   }
 }
 
-function changeOf (event: ListEvent, revision: number): ListedChange {
+function changeOf (event: ListEvent): ListedChange {
   return event.kind === 'left'
-    ? { kind: 'removed', serverId: event.server.serverId, revision }
+    ? { kind: 'removed', serverId: event.server.serverId, revision: event.revision }
     : { kind: 'written', server: event.server }
 }
--- a/src/mesh/spreadTask.ts
+++ b/src/mesh/spreadTask.ts
@@ -1,7 +1,7 @@
 import type { Clock, Millis } from '../clock/clock.js'
 import type { ConfigurationDb } from '../core/configuration/configurationDb.js'
 import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
-import { discoveryDefinition } from '../core/discovery/discoveryDefinition.js'
+import { discoveryDefinition, type ListChanges } from '../core/discovery/discoveryDefinition.js'
 import type { ListedChange, ListedServer } from '../core/discovery/discoveryTypes.js'
 import { decodeNotice, encodeNotice, type Notice, type SuspectFingerprint } from './notices.js'
 import type { NodeLog } from './nodeLog.js'
@@ -20,7 +20,7 @@
   readonly configurationText: () => string
   readonly sendTo: (ip: string, text: string) => void
   readonly sendToAll: (text: string) => void
-  readonly onChanges: (changes: readonly ListedChange[], revision: number, readAtMs: Millis) => void
+  readonly onChanges: (changes: ListChanges, readAtMs: Millis) => void
   readonly onSnapshot: (revision: number, servers: readonly ListedServer[], readAtMs: Millis) => void
   readonly onConfiguration: (text: string, fromIp: string) => void
   readonly onLeaving: (ip: string) => void
@@ -37,12 +37,12 @@
   }
 
   /** Tells all nodes what a read of the store has brought. */
-  tell (changes: readonly ListedChange[], sinceRoutingRevision: number, readAtMs: Millis): void {
+  tell (changes: readonly ListedChange[], afterRevision: number, readAtMs: Millis): void {
     const { clock, configuration, discovery, sendToAll } = this.#options
     sendToAll(encodeNotice({
       method: 'published',
       revision: discovery.revision,
-      sinceRoutingRevision,
+      afterRevision,
       ageMs: Math.round(clock.monotonicMs() - readAtMs),
       configurationVersion: configuration.current?.version ?? 0,
       changes
@@ -96,10 +96,10 @@
 
   #takePublished (notice: Extract<Notice, { method: 'published' }>, fromIp: string, nowMs: Millis): void {
     const { configuration, discovery } = this.#options
-    const lacksList = discovery.routingRevision < notice.sinceRoutingRevision
+    const lacksList = !discoveryDefinition.follows(discovery, notice)
     const lacksConfiguration = (configuration.current?.version ?? 0) < notice.configurationVersion
     if (lacksList || lacksConfiguration) this.#want(fromIp, lacksList, lacksConfiguration, nowMs)
-    if (!lacksList) this.#options.onChanges(notice.changes, notice.revision, nowMs - notice.ageMs - WAY_MS)
+    if (!lacksList) this.#options.onChanges(notice, nowMs - notice.ageMs - WAY_MS)
   }
 
   #want (fromIp: string, list: boolean, configuration: boolean, nowMs: Millis): void {
--- a/src/mesh/storeTask.ts
+++ b/src/mesh/storeTask.ts
@@ -11,7 +11,7 @@
 /** The store answers in a few ms; a longer time lets a slow store answer at all. */
 const READ_TIMEOUT_MS: Millis = 1_000
 const RETRY_FIRST_MS: Millis = 100
-const RETRY_MAX_MS: Millis = 800
+const RETRY_MAX_MS: Millis = 500
 /** How often the task looks whether it is its turn to read. */
 const TURN_CHECK_MS: Millis = 50
 
