Look for a crash as soon as running calls break

Changed: an executor whose running calls broke opens a connection at once; a refused one accuses what was running, at all nodes.

--- a/src/http/exchangePool.ts
+++ b/src/http/exchangePool.ts
@@ -36,8 +36,6 @@
   readonly idleMaxMs: Millis
   readonly answerMaxBytes: number
   readonly connectionsMaxCount: () => number
-  /** A connection was opened (true) or could not be (false). */
-  readonly onConnect?: (isOpen: boolean) => void
 }
 
 /** Ends an exchange early; its connection is closed, which tells the other side to stop. */
@@ -57,13 +55,15 @@
   #chunks: Buffer[] = []
   #bodyBytes = 0
   #usesCount = 0
+  #onProbed: ((isOpen: boolean) => void) | null
   #isOpen = false
   #isClosed = false
   idleSinceMs: Millis = 0
   idleMaxMs: Millis
 
-  constructor (pool: ExchangePool) {
+  constructor (pool: ExchangePool, onProbed: ((isOpen: boolean) => void) | null) {
     this.#pool = pool
+    this.#onProbed = onProbed
     this.idleMaxMs = pool.options.idleMaxMs
     const { host, port, connectTimeoutMs } = pool.options
     this.#parser = new MessageParser('RESPONSE', {
@@ -76,8 +76,12 @@
     this.#socket.on('connect', () => {
       clearTimeout(timer)
       this.#isOpen = true
-      pool.options.onConnect?.(true)
-      this.#write()
+      if (this.#request !== null) this.#write()
+      else {
+        this.idleSinceMs = pool.options.clock.monotonicMs()
+        pool.keep(this)
+      }
+      this.#probed(true)
     })
     this.#socket.on('data', (chunk: Buffer) => this.#onData(chunk))
     this.#socket.on('end', () => this.#onFin())
@@ -105,6 +109,12 @@
     this.#socket.destroy()
   }
 
+  #probed (isOpen: boolean): void {
+    const onProbed = this.#onProbed
+    this.#onProbed = null
+    onProbed?.(isOpen)
+  }
+
   #write (): void {
     if (this.#request !== null) this.#socket.write(this.#request.bytes)
   }
@@ -181,7 +191,7 @@
     this.#request = null
     this.#pool.drop(this)
     this.#socket.destroy()
-    if (!this.#isOpen) this.#pool.options.onConnect?.(false)
+    if (!this.#isOpen) this.#probed(false)
     if (request === null) return
     if (!this.#isOpen) request.onResult({ kind: 'not_sent', reason })
     else {
@@ -218,6 +228,12 @@
     return connection
   }
 
+  /** Opens a connection that the next request can use, and tells whether that was possible. */
+  probe (onResult: (isOpen: boolean) => void): void {
+    const connection = this.#open(onResult)
+    if (connection === undefined) onResult(true)
+  }
+
   /** Closes connections that have been idle for as long as they may. */
   sweep (): void {
     const nowMs = this.options.clock.monotonicMs()
@@ -251,9 +267,9 @@
     }
   }
 
-  #open (): PoolConnection | undefined {
+  #open (onProbed: ((isOpen: boolean) => void) | null = null): PoolConnection | undefined {
     if (this.#connections.size >= this.options.connectionsMaxCount()) return undefined
-    const connection = new PoolConnection(this)
+    const connection = new PoolConnection(this, onProbed)
     this.#connections.add(connection)
     return connection
   }
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -15,6 +15,8 @@
 
 /** A call with less time left than this cannot be answered in time. */
 const REMAINING_MIN_MS: Millis = 2
+/** Connects that look for a crash are at least this far apart; each is charged. */
+const PROBE_PAUSE_MS: Millis = 100
 
 export interface ExecutorOptions {
   readonly clock: Clock
@@ -114,8 +116,10 @@
   #onResult (result: ExchangeResult): void {
     if (this.#stage === 'ended') return
     const { crashGuard } = this.#executor.options
-    if (result.kind === 'broken') crashGuard.broke(this.call)
-    else if (result.kind === 'not_sent') crashGuard.unreachable()
+    if (result.kind === 'broken') {
+      crashGuard.broke(this.call)
+      this.#executor.suspectCrash()
+    } else if (result.kind === 'not_sent') crashGuard.unreachable()
     this.#end(this.#executor.read(result))
   }
 
@@ -148,6 +152,7 @@
   serverId = ''
   #received: Execution[] = []
   #isStopping = false
+  #probedAtMs: Millis = -Infinity
 
   constructor (options: ExecutorOptions) {
     this.options = options
@@ -204,6 +209,20 @@
     return this.options.crashGuard.refuses(call) ? RefusalReason.CrashSuspect : null
   }
 
+  /**
+   * After running calls broke, looks whether the backend server still takes
+   * connections. A crash must be known before its cause is sent to the next server.
+   */
+  suspectCrash (): void {
+    const { clock, pool, crashGuard } = this.options
+    const nowMs = clock.monotonicMs()
+    if (nowMs - this.#probedAtMs < PROBE_PAUSE_MS) return
+    this.#probedAtMs = nowMs
+    pool.probe(isOpen => {
+      if (!isOpen) crashGuard.unreachable()
+    })
+  }
+
   /** Takes no more calls, since the process ends soon; calls that have been taken go on. */
   beginStop (): void {
     this.#isStopping = true
--- a/src/mesh/publishedTask.ts
+++ b/src/mesh/publishedTask.ts
@@ -91,7 +91,7 @@
     this.#spread.greet(ip)
   }
 
-  /** Drops servers whose entries lapsed during an outage; other nodes may not have seen the outage, so they are told. */
+  /** Drops servers whose entries lapsed in an outage, and tells the nodes that may not have seen the outage. */
   sweep (): void {
     const { clock, discovery } = this.#options
     const events = discoveryDefinition.expireLapsed(discovery, clock.monotonicMs())
