--- a/src/mesh/entryTask.ts
+++ b/src/mesh/entryTask.ts
@@ -180,7 +180,7 @@
     if (call.isEnded) return
     switch (result.kind) {
       case 'answered':
-        this.#options.log.decision('answered', {
+        this.#options.log.served('answered', {
           request: call.request.requestId,
           route: call.rule.name,
           server: send.server.serverId,
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -319,6 +319,7 @@
   /** A process of another node has greeted; a mark of its predecessor no longer holds. */
   #peerUp (ip: string): void {
     this.#eachServerAt(ip, server => placementDefinition.setLeaving(this.#placement, server, false))
+    this.#published.greet(ip)
   }
 
   #eachServerAt (ip: string, apply: (server: ListedServer) => void): void {
--- a/src/mesh/nodeLog.ts
+++ b/src/mesh/nodeLog.ts
@@ -62,9 +62,18 @@
     this.#logger.info({ event, ...fields })
   }
 
-  /** A decision on one request. */
+  /** A decision by which a request failed. */
   decision (event: string, fields: LogFields): void {
-    if (!this.#takeToken()) {
+    this.#bounded(event, fields, 1)
+  }
+
+  /** A request that was served; such lines leave half of the bound to those that were not. */
+  served (event: string, fields: LogFields): void {
+    this.#bounded(event, fields, DECISIONS_PER_S / 2)
+  }
+
+  #bounded (event: string, fields: LogFields, leastTokens: number): void {
+    if (!this.#takeToken(leastTokens)) {
       this.#omittedCount += 1
       return
     }
@@ -85,12 +94,12 @@
     if (text !== '') this.#options.write(text)
   }
 
-  #takeToken (): boolean {
+  #takeToken (leastTokens: number): boolean {
     const nowMs = this.#options.clock.monotonicMs()
     const refilled = this.#tokens + (nowMs - this.#tokensAtMs) * DECISIONS_PER_S / 1000
     this.#tokens = Math.min(DECISIONS_PER_S, refilled)
     this.#tokensAtMs = nowMs
-    if (this.#tokens < 1) return false
+    if (this.#tokens < leastTokens) return false
     this.#tokens -= 1
     return true
   }
--- a/src/mesh/publishedTask.ts
+++ b/src/mesh/publishedTask.ts
@@ -86,7 +86,7 @@
     this.#spread.receive(text, fromIp)
   }
 
-  /** Gives a node that has just connected what it may lack. */
+  /** Tells a node that has just connected how far this one is. */
   greet (ip: string): void {
     this.#spread.greet(ip)
   }
--- a/src/mesh/spreadTask.ts
+++ b/src/mesh/spreadTask.ts
@@ -38,15 +38,19 @@
 
   /** Tells all nodes what a read of the store has brought. */
   tell (changes: readonly ListedChange[], afterRevision: number, readAtMs: Millis): void {
-    const { clock, configuration, discovery, sendToAll } = this.#options
-    sendToAll(encodeNotice({
+    this.#options.sendToAll(this.#published(changes, afterRevision, readAtMs))
+  }
+
+  #published (changes: readonly ListedChange[], afterRevision: number, readAtMs: Millis): string {
+    const { clock, configuration, discovery } = this.#options
+    return encodeNotice({
       method: 'published',
       revision: discovery.revision,
       afterRevision,
       ageMs: Math.round(clock.monotonicMs() - readAtMs),
       configurationVersion: configuration.current?.version ?? 0,
       changes
-    }))
+    })
   }
 
   tellConfiguration (): void {
@@ -54,11 +58,10 @@
     if (text !== '') this.#options.sendToAll(encodeNotice({ method: 'configuration', text }))
   }
 
-  /** Gives a node that has just connected what it may lack. */
+  /** Tells a node that has just connected how far this one is; it asks for what it lacks. */
   greet (ip: string): void {
-    const { configuration, configurationText, sendTo } = this.#options
-    if (configuration.current !== null) sendTo(ip, encodeNotice({ method: 'configuration', text: configurationText() }))
-    this.#sendSnapshot(ip)
+    const { discovery, sendTo } = this.#options
+    if (discovery.revision >= 0) sendTo(ip, this.#published([], discovery.revision, discovery.freshAtMs))
   }
 
   receive (text: string, fromIp: string): void {
