Count calls of repeated requests as repeats; drop hedging

Cause: calls made by a run that was itself sent once more count against the bound at the service that is called, and nodes did not know of them. Changed: the lineage says whether a call is, or was made for, a repeat. The long requests are long at each server (1 in 100 has five times the work), so a second one is as late.

--- a/src/core/secondSends/secondSendsDefinition.ts
+++ b/src/core/secondSends/secondSendsDefinition.ts
@@ -29,11 +29,17 @@
   return true
 }
 
+/** Notes an arrival that repeats one, made by a request that was itself sent once more. */
+function repeated (db: SecondSendsDb, serviceName: string, nowMs: Millis): void {
+  count(sendsOf(db, serviceName).extrasBySlice, db.settings.windowMs, nowMs)
+}
+
 /** The second-sends family: keeps repeats within the fleet's bound without shared state. */
 export const secondSendsDefinition = {
   createDb: createSecondSendsDb,
   clear: clearSecondSendsDb,
   request,
   take,
+  repeated,
   setNodesCount: (db: SecondSendsDb, nodesCount: number) => { db.nodesCount = nodesCount }
 }
--- a/src/mesh/entryCall.ts
+++ b/src/mesh/entryCall.ts
@@ -51,7 +51,7 @@
     this.deadlineAtMs = deadlineAtMs
     this.parent = parent
     this.lineage = parent === null
-      ? { rootId: request.requestId, rootRoute: rule.name, rootRank: rule.importanceRank, depth: 0 }
+      ? { rootId: request.requestId, rootRoute: rule.name, rootRank: rule.importanceRank, depth: 0, isRepeat: false }
       : { ...parent.call.lineage, depth: parent.call.lineage.depth + 1 }
   }
 
--- a/src/mesh/entryTask.ts
+++ b/src/mesh/entryTask.ts
@@ -43,6 +43,8 @@
 /** Used where no route tells an objective. */
 const RETRY_AFTER_DEFAULT_MS: Millis = 500
 
+type AnsweredResult = Extract<PlacedResult, { kind: 'answered' }>
+
 export interface EntryTaskOptions {
   readonly clock: Clock
   readonly random: RandomSource
@@ -97,6 +99,7 @@
       incoming, request, rule, serviceName, nowMs, incoming.beganAtMs + patienceMs, parent ?? null
     )
     secondSendsDefinition.request(this.#options.secondSends, serviceName, nowMs)
+    if (call.lineage.isRepeat) secondSendsDefinition.repeated(this.#options.secondSends, serviceName, nowMs)
     if (!this.#mayEnter(call, nowMs)) return
     this.#calls.add(call)
     incoming.onGone = () => this.#abandon(call)
@@ -167,7 +170,7 @@
         : remainingMs * SUB_CALL_WAIT_RATIO,
       rank: call.lineage.rootRank + (call.parent === null ? ROOT_RANK_OFFSET : 0),
       isIdempotent: call.rule.isIdempotent,
-      lineage: call.lineage
+      lineage: call.mayHaveRun ? { ...call.lineage, isRepeat: true } : call.lineage
     }
   }
 
@@ -180,19 +183,7 @@
     if (call.isEnded) return
     switch (result.kind) {
       case 'answered':
-        this.#options.log.served('answered', {
-          request: call.request.requestId,
-          route: call.rule.name,
-          server: send.server.serverId,
-          status: result.statusCode,
-          took_ms: Math.round(nowMs - call.arrivedAtMs),
-          version: this.#options.configuration.current?.version
-        })
-        this.#options.metrics.count('answers', { kind: 'backend', route: call.rule.name })
-        this.#options.metrics.time('request_ms', { route: call.rule.name }, nowMs - call.arrivedAtMs)
-        this.#options.metrics.time('added_ms', {}, nowMs - call.arrivedAtMs - result.servedMs)
-        this.#end(call)
-        call.incoming.answer(result)
+        this.#deliver(call, result, nowMs)
         return
       case 'not_run':
         call.lastRefusal = result.reason
@@ -207,6 +198,24 @@
     }
   }
 
+  #deliver (call: EntryCall, result: AnsweredResult, nowMs: Millis): void {
+    const { configuration, log, metrics } = this.#options
+    const { name } = call.rule
+    log.served('answered', {
+      request: call.request.requestId,
+      route: name,
+      servers: call.triedServerIds.join(','),
+      status: result.statusCode,
+      took_ms: Math.round(nowMs - call.arrivedAtMs),
+      version: configuration.current?.version
+    })
+    metrics.count('answers', { kind: 'backend', route: name })
+    metrics.time('request_ms', { route: name }, nowMs - call.arrivedAtMs)
+    metrics.time('added_ms', {}, nowMs - call.arrivedAtMs - result.servedMs)
+    this.#end(call)
+    call.incoming.answer(result)
+  }
+
   #takeReport (call: EntryCall, send: Send, result: PlacedResult, { load, usage }: ResultReport, nowMs: Millis): void {
     const { chainAdmission, placement } = this.#options
     placementDefinition.report(placement, send.server, load, nowMs)
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -82,7 +82,8 @@
       return [
         frame.kind, frame.number, call.serviceName, call.serverId, call.requestId, call.method, call.target,
         call.headerText, call.body, Math.floor(call.remainingMs), Math.floor(call.waitMaxMs), call.rank,
-        call.isIdempotent ? 1 : 0, lineage.rootId, lineage.rootRoute, lineage.rootRank, lineage.depth
+        call.isIdempotent ? 1 : 0, lineage.rootId, lineage.rootRoute, lineage.rootRank, lineage.depth,
+        lineage.isRepeat ? 1 : 0
       ]
     }
     case FrameKind.Answer:
@@ -135,10 +136,10 @@
     case FrameKind.Call: {
       const [
         , number, serviceName, serverId, requestId, method, target, headerText, body, remainingMs, waitMaxMs, rank,
-        safe, rootId, rootRoute, rootRank, depth
+        safe, rootId, rootRoute, rootRank, depth, repeat
       ] = fields as [
         unknown, number, string, string, string, string, string, string, Buffer, number, number, number, number,
-        string, string, number, number
+        string, string, number, number, number
       ]
       return {
         kind,
@@ -155,7 +156,7 @@
           waitMaxMs,
           rank,
           isIdempotent: safe === 1,
-          lineage: { rootId, rootRoute, rootRank, depth }
+          lineage: { rootId, rootRoute, rootRank, depth, isRepeat: repeat === 1 }
         }
       }
     }
--- a/src/mesh/meshTypes.ts
+++ b/src/mesh/meshTypes.ts
@@ -10,6 +10,8 @@
   readonly rootRank: number
   /** 0 for the root request itself. */
   readonly depth: number
+  /** Whether the call is, or was made for, one that may have run before. */
+  readonly isRepeat: boolean
 }
 
 /** A call on its way from the node that took it to the node that runs it. */
--- a/src/mesh/peerLink.spec.ts
+++ b/src/mesh/peerLink.spec.ts
@@ -20,7 +20,7 @@
     waitMaxMs: 1_000,
     rank: 1,
     isIdempotent: false,
-    lineage: { rootId: requestId, rootRoute: 'r', rootRank: 1, depth: 0 }
+    lineage: { rootId: requestId, rootRoute: 'r', rootRank: 1, depth: 0, isRepeat: false }
   }
 }
 
