Read the whole store at once after a lost history

Cause: after a 410 the period of reads came on top of the retry's delay, so changes whose history was dropped were read up to 1.05 s late, of 2 s that a drain or a new version may take. Changed: a failed read does not start the period.

--- a/src/mesh/storeTask.ts
+++ b/src/mesh/storeTask.ts
@@ -64,6 +64,8 @@
       else {
         this.#lost(failure)
         await this.#pause(this.#retryDelayMs(failure))
+        // The delay of a retry replaces the period of reads, which would come on top of it.
+        this.#readAtMs = -Infinity
       }
     }
   }
