Check all links with one timer and let readers sleep until their turn

Cause: each link with open calls woke the process ten times a second, and each node that waits for its turn to read as often; wake-ups are charged. A link that had been idle was pinged with its first call.

--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -217,6 +217,7 @@
     this.#executor.sweep()
     this.#crashGuard.sweep()
     this.#published.sweep()
+    this.#mesh.check()
     if (this.#isStopping) this.#continueStop()
   }
 
--- a/src/mesh/peerLink.spec.ts
+++ b/src/mesh/peerLink.spec.ts
@@ -43,6 +43,7 @@
   server!: PeerServer
   link!: PeerLink
   #serverPort = 0
+  #checkTimer: NodeJS.Timeout | null = null
 
   async start (): Promise<void> {
     await this.startServer('server-1')
@@ -58,6 +59,7 @@
       onNotice: () => {},
       onUp: () => {}
     })
+    this.#checkTimer = setInterval(() => this.link.check(), 50)
   }
 
   async startServer (incarnation: string): Promise<void> {
@@ -98,6 +100,7 @@
   }
 
   close (): void {
+    if (this.#checkTimer !== null) clearInterval(this.#checkTimer)
     this.link.close()
     this.server.abort()
     this.relay.close()
--- a/src/mesh/peerLink.ts
+++ b/src/mesh/peerLink.ts
@@ -8,7 +8,6 @@
 const SILENT_BEFORE_PING_MS: Millis = 250
 /** After a ping without any answer the connection counts as silent. */
 const PING_TIMEOUT_MS: Millis = 250
-const CHECK_PERIOD_MS: Millis = 100
 const CONNECT_TIMEOUT_MS: Millis = 500
 /** Pause between connects to a node that does not answer. */
 const RECONNECT_PAUSE_MS: Millis = 300
@@ -45,9 +44,10 @@
   #peerIncarnation = ''
   #lastNumber = 0
   #heardAtMs: Millis
+  /** When the oldest run of calls without a pause began; silence before it means nothing. */
+  #busySinceMs: Millis = -Infinity
   #pingedAtMs: Millis = -Infinity
   #isSilent = false
-  #checkTimer: NodeJS.Timeout | null = null
   #retryTimer: NodeJS.Timeout | null = null
   #isClosed = false
 
@@ -68,10 +68,10 @@
   place (call: PlacedCall, listener: PlacedListener): PlacedHandle {
     const number = ++this.#lastNumber
     const open: OpenCall = { call, listener, isSent: false }
+    if (this.#calls.size === 0) this.#busySinceMs = this.#options.clock.monotonicMs()
     this.#calls.set(number, open)
     if (this.#socket !== null) this.#sendCall(number, open)
     else this.connect()
-    this.#watch()
     return { cancel: () => this.#cancel(number) }
   }
 
@@ -100,7 +100,7 @@
   /** Ends the link; calls that are still open end as unknown. */
   close (): void {
     this.#isClosed = true
-    for (const timer of [this.#checkTimer, this.#retryTimer, this.#nextTimer]) if (timer !== null) clearTimeout(timer)
+    for (const timer of [this.#retryTimer, this.#nextTimer]) if (timer !== null) clearTimeout(timer)
     this.#next?.destroy()
     this.#socket?.destroy()
     this.#failAll()
@@ -187,19 +187,11 @@
     }, RECONNECT_PAUSE_MS)
   }
 
-  /** Looks for silence while calls are open. */
-  #watch (): void {
-    this.#checkTimer ??= setTimeout(() => {
-      this.#checkTimer = null
-      if (this.#calls.size === 0) return
-      this.#check()
-      this.#watch()
-    }, CHECK_PERIOD_MS)
-  }
-
-  #check (): void {
+  /** Looks for silence while calls are open; to be called several times a second. */
+  check (): void {
     const nowMs = this.#options.clock.monotonicMs()
-    if (this.#socket === null || nowMs - this.#heardAtMs < SILENT_BEFORE_PING_MS) return
+    if (this.#calls.size === 0 || this.#socket === null) return
+    if (nowMs - Math.max(this.#heardAtMs, this.#busySinceMs) < SILENT_BEFORE_PING_MS) return
     if (this.#pingedAtMs === -Infinity) {
       this.#pingedAtMs = nowMs
       this.#socket.send({ kind: FrameKind.Ping })
--- a/src/mesh/peerMesh.ts
+++ b/src/mesh/peerMesh.ts
@@ -32,6 +32,11 @@
     return this.#links.size
   }
 
+  /** Looks at all links for silence. */
+  check (): void {
+    for (const link of this.#links.values()) link.check()
+  }
+
   place (ip: string, call: PlacedCall, listener: PlacedListener): PlacedHandle {
     return this.#linkTo(ip).place(call, listener)
   }
--- a/src/mesh/storeTask.ts
+++ b/src/mesh/storeTask.ts
@@ -12,8 +12,6 @@
 const READ_TIMEOUT_MS: Millis = 1_000
 const RETRY_FIRST_MS: Millis = 100
 const RETRY_MAX_MS: Millis = 500
-/** How often the task looks whether it is its turn to read. */
-const TURN_CHECK_MS: Millis = 50
 
 export interface StoreTaskOptions {
   readonly clock: Clock
@@ -55,7 +53,8 @@
     while (!this.#stopped) {
       const waitMs = this.#untilTurnMs()
       if (waitMs > 0) {
-        await this.#pause(Math.min(waitMs, TURN_CHECK_MS * 2))
+        // Fresher news only puts the turn off, so there is nothing to look at before.
+        await this.#pause(waitMs)
         continue
       }
       this.#readAtMs = this.#options.clock.monotonicMs()
