--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,7 +1,7 @@
-import { readFileSync } from 'node:fs'
 import { Either, Left, Right } from 'purify-ts'
 import yargs from 'yargs'
 import { z } from 'zod'
+import { packageVersion } from './packageVersion.js'
 
 /** One setting: the flag `--some-name` and the variable `RAGWORTSPUR_SOME_NAME`. */
 export interface SettingSpec<T> {
@@ -72,16 +72,6 @@
   return ENV_PREFIX + flagOf(name).replaceAll('-', '_').toUpperCase()
 }
 
-function packageVersion (): string {
-  for (const depth of ['../../', '../../../']) {
-    try {
-      const text = readFileSync(new URL(`${depth}package.json`, import.meta.url), 'utf8')
-      return (JSON.parse(text) as { version: string }).version
-    } catch { /* The built file lies one folder deeper than its source. */ }
-  }
-  return 'unknown'
-}
-
 function textOf (given: unknown): string | undefined {
   if (given === undefined) return undefined
   return Array.isArray(given) ? String(given.at(-1)) : String(given)
