--- a/src/mesh/nodeMetrics.ts
+++ b/src/mesh/nodeMetrics.ts
@@ -19,8 +19,17 @@
 
 export type Labels = Readonly<Record<string, string>>
 
+/** Characters that the text format escapes in a label's value. */
+const NEEDS_ESCAPE = /["\\\n]/
+
+/** Labels as the text format writes them; it runs for each count, so it creates no arrays. */
 function keyOf (labels: Labels): string {
-  return Object.entries(labels).map(([name, value]) => `${name}=${JSON.stringify(value)}`).join(',')
+  let key = ''
+  for (const name in labels) {
+    const value = labels[name]!
+    key += `${key === '' ? '' : ','}${name}=${NEEDS_ESCAPE.test(value) ? JSON.stringify(value) : `"${value}"`}`
+  }
+  return key
 }
 
 /**
