Let one node alone read the store while nothing changes

Cause: heartbeats cause no events, so a read waited for a second before it answered; the others expected news after 750 ms and read themselves, at 91 VMs about 15 of them, and each told all others. The freshness of the list counted from the start of a read, not from its answer. Ruled out: lost notices (each read has its notice) and several first readers (one had the rank). A read that does not wait at all costs as few calls, but shows a change 250 ms later on average.

--- a/src/core/discovery/discoveryDefinition.spec.ts
+++ b/src/core/discovery/discoveryDefinition.spec.ts
@@ -122,7 +122,8 @@
   const plan = servers.map(({ ip, dataCentre }) => ({ dataCentre, afterMs: readAfterMs({ ip, dataCentre }, servers) }))
 
   test('one node of the fleet reads at each period, so reads do not grow with the fleet', () => {
-    expect(plan.filter(entry => entry.afterMs === READ_PERIOD_MS)).toHaveLength(1)
+    expect(plan.filter(entry => entry.afterMs === 0)).toHaveLength(1)
+    expect(plan.filter(entry => entry.afterMs > 0 && entry.afterMs <= READ_PERIOD_MS)).toEqual([])
   })
 
   test('each data centre has a node that takes over soon when it hears nothing', () => {
--- a/src/core/discovery/readPlan.ts
+++ b/src/core/discovery/readPlan.ts
@@ -4,6 +4,8 @@
 
 /** How often the first reader reads; well below the bounds on draining and configuration, and each read is charged. */
 export const READ_PERIOD_MS: Millis = 500
+/** Wait of a node that knows no other one: nobody depends on its news. A fleet that starts consists of such nodes. */
+const ALONE_WAIT_MS: Millis = 2_000
 /** A reader that has been silent for this long beyond its period is followed by the next one. */
 const TAKE_OVER_STEP_MS: Millis = 250
 /** Ranks beyond this all wait equally long, so that the last node of a large data centre is not far behind. */
@@ -23,11 +25,11 @@
 
 /**
  * How old the list may become before this node reads the store itself. One node
- * of the fleet reads and tells the others; the nodes of each data centre follow
- * it in a fixed order when they hear nothing.
+ * of the fleet reads without a pause and tells the others; the nodes of each data
+ * centre follow it in a fixed order when they hear nothing.
  *
  * @example
- * readAfterMs(place, servers) // 500 at the first reader, 750 at the first of another data centre
+ * readAfterMs(place, servers) // 0 at the first reader, 750 at the first of another data centre
  */
 export function readAfterMs (own: ReaderPlace, servers: Iterable<ListedServer>): Millis {
   let isFirst = true
@@ -37,5 +39,18 @@
     isFirst = false
     if (dataCentre === own.dataCentre) precedingCount += 1
   }
-  return isFirst ? READ_PERIOD_MS : READ_PERIOD_MS + TAKE_OVER_STEP_MS * Math.min(STEPS_MAX_COUNT, 1 + precedingCount)
+  return isFirst ? 0 : READ_PERIOD_MS + TAKE_OVER_STEP_MS * Math.min(STEPS_MAX_COUNT, 1 + precedingCount)
+}
+
+/**
+ * How long a read may wait for a change. The answer also tells the others that
+ * nothing has changed, so it must not come later than they expect news.
+ *
+ * @example
+ * watchWaitMs(0, 13) // 500: the list is fresh
+ * watchWaitMs(750, 13) // 0: the others wait for news already
+ */
+export function watchWaitMs (listAgeMs: Millis, serversCount: number): Millis {
+  if (serversCount <= 1) return ALONE_WAIT_MS
+  return Math.max(0, Math.min(READ_PERIOD_MS, Math.round(READ_PERIOD_MS - listAgeMs)))
 }
--- a/src/mesh/publishedTask.ts
+++ b/src/mesh/publishedTask.ts
@@ -6,7 +6,7 @@
 import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
 import { discoveryDefinition } from '../core/discovery/discoveryDefinition.js'
 import type { ListedChange, ListEvent } from '../core/discovery/discoveryTypes.js'
-import { readAfterMs, type ReaderPlace } from '../core/discovery/readPlan.js'
+import { readAfterMs, watchWaitMs, type ReaderPlace } from '../core/discovery/readPlan.js'
 import type { Fingerprint } from '../core/retry/retryTypes.js'
 import type { NodeLog } from './nodeLog.js'
 import type { PlatformStore, PublishedChanges, PublishedState, RefusedValue } from './platformStore.js'
@@ -51,6 +51,7 @@
       store,
       freshAtMs: () => discovery.freshAtMs,
       readAfterMs: () => this.#readAfterMs,
+      watchWaitMs: () => watchWaitMs(clock.monotonicMs() - discovery.freshAtMs, discovery.servers.size),
       revision: () => discovery.revision,
       onState: (state, readAtMs) => this.#takeState(state, readAtMs),
       onChanges: (changes, readAtMs) => this.#takeRead(changes, readAtMs)
--- a/src/mesh/storeTask.spec.ts
+++ b/src/mesh/storeTask.spec.ts
@@ -1,5 +1,6 @@
 import { Left, Right } from 'purify-ts'
 import { systemClock } from '../clock/clock.js'
+import { watchWaitMs } from '../core/discovery/readPlan.js'
 import { NodeLog } from './nodeLog.js'
 import { StoreFailureKind, type PlatformStore } from './platformStore.js'
 import { StoreTask } from './storeTask.js'
@@ -37,6 +38,7 @@
     store,
     freshAtMs,
     readAfterMs: () => readAfterMs,
+    watchWaitMs: () => 500,
     revision: () => log.length === 0 ? -1 : 5,
     onState: () => {},
     onChanges: () => {}
@@ -66,6 +68,36 @@
     expect(log.map(read => read.kind)).toEqual(['all'])
   })
 
+  test('while nothing changes one node alone reads, since its answers tell the others how fresh the list is', async () => {
+    let freshAtMs = -Infinity
+    const readsCounts = [0, 0, 0]
+    const tasks = [0, 750, 1_000].map((readAfterMs, reader) => new StoreTask({
+      clock: systemClock,
+      random: () => 0.5,
+      log: new NodeLog({ clock: systemClock, write: () => true }),
+      store: {
+        readAll: async () => Right(STATE),
+        readChanges: async (afterRevision, waitMs) => {
+          readsCounts[reader]! += 1
+          await pause(waitMs)
+          return Right({ ...STATE, afterRevision, changes: [] })
+        },
+        decodeConfiguration: () => Left('none')
+      },
+      freshAtMs: () => freshAtMs,
+      readAfterMs: () => readAfterMs,
+      watchWaitMs: () => watchWaitMs(systemClock.monotonicMs() - freshAtMs, 3),
+      revision: () => freshAtMs === -Infinity ? -1 : 5,
+      onState: (_state, readAtMs) => { freshAtMs = Math.max(freshAtMs, readAtMs) },
+      onChanges: (_changes, readAtMs) => { freshAtMs = Math.max(freshAtMs, readAtMs) }
+    }))
+    for (const task of tasks) task.start()
+    await pause(2_600)
+    for (const task of tasks) task.stop()
+    expect(readsCounts.slice(1)).toEqual([0, 0])
+    expect(readsCounts[0]).toBeLessThanOrEqual(6)
+  })
+
   test('a store that is away is asked again with growing pauses', async () => {
     const { log, task } = open(() => StoreFailureKind.Unavailable, () => -Infinity, 0)
     await pause(1_500)
--- a/src/mesh/storeTask.ts
+++ b/src/mesh/storeTask.ts
@@ -6,8 +6,6 @@
 } from './platformStore.js'
 import type { NodeLog } from './nodeLog.js'
 
-/** Heartbeats keep the list moving; a watch without any event for this long is asked anew. */
-const WATCH_WAIT_MS: Millis = 1_000
 /** The store answers in a few ms; a longer time lets a slow store answer at all. */
 const READ_TIMEOUT_MS: Millis = 1_000
 const RETRY_FIRST_MS: Millis = 100
@@ -22,6 +20,8 @@
   readonly freshAtMs: () => Millis
   /** Age of the list at which this node reads. */
   readonly readAfterMs: () => Millis
+  /** How long the store may wait for a change before it answers. */
+  readonly watchWaitMs: () => Millis
   /** Revision up to which the list is known. */
   readonly revision: () => number
   readonly onState: (state: PublishedState, readAtMs: Millis) => void
@@ -91,14 +91,16 @@
   }
 
   async #readChanges (): Promise<StoreFailure | null> {
-    const startedAtMs = this.#options.clock.monotonicMs()
-    const result = await this.#options.store.readChanges(
-      this.#options.revision(), WATCH_WAIT_MS, WATCH_WAIT_MS + READ_TIMEOUT_MS
-    )
+    const { clock, revision, store, watchWaitMs } = this.#options
+    const startedAtMs = clock.monotonicMs()
+    const waitMs = watchWaitMs()
+    const result = await store.readChanges(revision(), waitMs, waitMs + READ_TIMEOUT_MS)
     return result.caseOf<StoreFailure | null>({
       Left: failure => failure,
       Right: changes => {
-        this.#options.onChanges(changes, startedAtMs)
+        // The answer holds all changes until it was sent, which is after the wait at the latest; a process
+        // that was paused reads it later.
+        this.#options.onChanges(changes, Math.min(clock.monotonicMs(), startedAtMs + waitMs))
         return null
       }
     })
