--- a/src/mesh/entryTask.ts
+++ b/src/mesh/entryTask.ts
@@ -40,6 +40,8 @@
 const RETRY_AFTER_LEAST_RATIO = 0.25
 /** Spread of the return of refused requests, as a part of the objective. */
 const RETRY_AFTER_SPREAD_RATIO = 0.25
+/** Answers from here on say that the server failed (RFC 9110, section 15.6). */
+const FAILED_STATUS = 500
 /** Used where no route tells an objective. */
 const RETRY_AFTER_DEFAULT_MS: Millis = 500
 
@@ -201,14 +203,17 @@
   #deliver (call: EntryCall, result: AnsweredResult, nowMs: Millis): void {
     const { configuration, log, metrics } = this.#options
     const { name } = call.rule
-    log.served('answered', {
+    const fields = {
       request: call.request.requestId,
       route: name,
       servers: call.triedServerIds.join(','),
       status: result.statusCode,
       took_ms: Math.round(nowMs - call.arrivedAtMs),
-      version: configuration.current?.version
-    })
+      version: configuration.current?.version,
+      revision: this.#options.discovery.revision
+    }
+    if (result.statusCode >= FAILED_STATUS) log.decision('answered', fields)
+    else log.served('answered', fields)
     metrics.count('answers', { kind: 'backend', route: name })
     metrics.time('request_ms', { route: name }, nowMs - call.arrivedAtMs)
     metrics.time('added_ms', {}, nowMs - call.arrivedAtMs - result.servedMs)
@@ -221,7 +226,7 @@
     placementDefinition.report(placement, send.server, load, nowMs)
     chainAdmissionDefinition.observe(chainAdmission, usage, nowMs)
     if (call.parent !== null) call.parent.addUsage(usage)
-    else if (result.kind === 'answered' && result.statusCode < 500) {
+    else if (result.kind === 'answered' && result.statusCode < FAILED_STATUS) {
       const { name, importanceRank } = call.rule
       chainAdmissionDefinition.learn(chainAdmission, { routeName: name, importanceRank }, usage, nowMs)
     }
@@ -274,7 +279,7 @@
   }
 
   #finish (call: EntryCall, answer: OwnAnswer, reason: string, inputs: LogFields = {}): void {
-    const { clock, dialect, log, configuration } = this.#options
+    const { clock, dialect, discovery, log, configuration } = this.#options
     const nowMs = clock.monotonicMs()
     log.decision(answer, {
       request: call.request.requestId,
@@ -285,7 +290,9 @@
       held_ms: Math.round(nowMs - call.arrivedAtMs),
       left_ms: Math.round(call.deadlineAtMs - nowMs),
       ...inputs,
-      version: configuration.current?.version
+      version: configuration.current?.version,
+      revision: discovery.revision,
+      list_age_ms: Math.round(nowMs - discovery.freshAtMs)
     })
     this.#options.metrics.count('answers', { kind: answer, route: call.rule.name })
     this.#options.metrics.count('own_answers', { reason })
@@ -324,7 +331,7 @@
 
 function outcomeOf (result: PlacedResult): SendOutcome {
   switch (result.kind) {
-    case 'answered': return result.statusCode >= 500 ? SendOutcome.Failed : SendOutcome.Served
+    case 'answered': return result.statusCode >= FAILED_STATUS ? SendOutcome.Failed : SendOutcome.Served
     case 'not_run': {
       if (result.reachedBackend) return SendOutcome.Shed
       return result.reason === RefusalReason.ConnectFailed ? SendOutcome.Lost : SendOutcome.Refused
