--- a/src/core/nodeCore/callEnd.ts
+++ b/src/core/nodeCore/callEnd.ts
@@ -40,6 +40,17 @@
   return { kind: 'not_run', proof, reason, limitedBy }
 }
 
+/** The key's owner answers for all nodes, so its word on `not_run` holds for each send. */
+export function keyRefusal (turn: Turn, outcome: Outcome.NotRun | Outcome.Unknown, reason: Reason): CallEnd {
+  if (outcome === Outcome.Unknown) return { kind: 'unknown', reason }
+  return {
+    kind: 'not_run',
+    proof: { kind: 'refused_by_executor', nodeId: turn.db.settings.nodeId },
+    reason,
+    limitedBy: ''
+  }
+}
+
 /** Ends a call for which no document or route was found. */
 export function endUnplannedCall (turn: Turn, call: IncomingCall, reason: Reason): void {
   const outcome = call.idempotencyKey !== null && call.attempt !== 1 ? Outcome.Unknown : Outcome.NotRun
--- a/src/core/nodeCore/callPlacement.ts
+++ b/src/core/nodeCore/callPlacement.ts
@@ -7,11 +7,11 @@
 import { routingDefinition } from '../routing/routingDefinition.js'
 import type { NodeTarget } from '../routing/routingTypes.js'
 import { executeHere, passesChain } from './callExecution.js'
-import { finishCall, giveTokenBack, refuseBeforeSend } from './callEnd.js'
+import { finishCall, giveTokenBack, keyRefusal, refuseBeforeSend } from './callEnd.js'
 import { backendAcceptsWork, getPeerCut, isStopping, moveCall } from './nodeCoreDb.js'
 import type { Turn } from './nodeCoreDb.js'
 import type { CallEnd, CallState } from './nodeCoreTypes.js'
-import { ownerCandidatesOf, ownerRevisionsOf } from './publishedValues.js'
+import { ownerCandidatesOf, ownerRevisionsOf } from './keyOwners.js'
 
 /** Ranks below a first send, since an unnumbered send may be a resend of one that ran at another owner. */
 const UNNUMBERED_ATTEMPT = 0
@@ -124,17 +124,6 @@
   }
 }
 
-/** The key's owner answers for all nodes, so its word on `not_run` holds for each send. */
-export function keyRefusal (turn: Turn, outcome: Outcome.NotRun | Outcome.Unknown, reason: Reason): CallEnd {
-  if (outcome === Outcome.Unknown) return { kind: 'unknown', reason }
-  return {
-    kind: 'not_run',
-    proof: { kind: 'refused_by_executor', nodeId: turn.db.settings.nodeId },
-    reason,
-    limitedBy: ''
-  }
-}
-
 function sendToOwner (turn: Turn, state: CallState, owner: KeyOwner): void {
   const mayShed = state.call.attempt === 1
   const entry = owner.nodeId === undefined
