--- a/src/core/discovery/discoveryDefinition.spec.ts
+++ b/src/core/discovery/discoveryDefinition.spec.ts
@@ -1,6 +1,6 @@
 import { discoveryDefinition as family, type ListChanges } from './discoveryDefinition.js'
 import { ServerState, type ListedChange, type ListedServer } from './discoveryTypes.js'
-import { readAfterMs, READ_PERIOD_MS } from './readPlan.js'
+import { readAfterMs, READ_PERIOD_MS, watchWaitMs } from './readPlan.js'
 
 function server (serverId: string, revision: number, change: Partial<ListedServer> = {}): ListedServer {
   return {
@@ -126,6 +126,16 @@
     expect(plan.filter(entry => entry.afterMs > 0 && entry.afterMs <= READ_PERIOD_MS)).toEqual([])
   })
 
+  test('a read answers before the others miss news, so they do not read as well', () => {
+    for (let ageMs = 0; ageMs <= 2_000; ageMs += 50) {
+      expect(ageMs + watchWaitMs(ageMs, servers.length)).toBeLessThanOrEqual(Math.max(ageMs, READ_PERIOD_MS))
+    }
+  })
+
+  test('a node that knows no other one asks seldom, since a whole fleet may start at once', () => {
+    expect(watchWaitMs(0, 0)).toBeGreaterThan(READ_PERIOD_MS)
+  })
+
   test('each data centre has a node that takes over soon when it hears nothing', () => {
     for (const name of ['tartu', 'tallinn', 'parnu']) {
       const soonest = Math.min(...plan.filter(entry => entry.dataCentre === name).map(entry => entry.afterMs))
