Tell news to connected nodes whose backend server is not listed

Cause: news went over the links to listed nodes only. A node whose backend server had gone was told nothing, read the store itself, and stayed behind when the store turned it away. Ruled out: notices that such a node drops; it takes them like all others. Conclusion: news goes over the other side's connection where there is no open link from here.

--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -106,7 +106,7 @@
     this.#crashGuard = new CrashGuard({
       clock,
       log,
-      onCrash: fingerprints => this.#mesh.sendToAll(encodeNotice({ method: 'crash_suspects', fingerprints }))
+      onCrash: fingerprints => this.#sendToAll(encodeNotice({ method: 'crash_suspects', fingerprints }))
     })
     this.#executor = new Executor({
       clock,
@@ -176,7 +176,7 @@
       sendTo: (ip, text) => {
         if (!this.#peers.notify(ip, text)) this.#mesh.sendTo(ip, text)
       },
-      sendToAll: text => this.#mesh.sendToAll(text),
+      sendToAll: text => this.#sendToAll(text),
       onEvents: events => this.#takeEvents(events),
       onLeaving: ip => this.#eachServerAt(ip, server => placementDefinition.setLeaving(this.#placement, server, true)),
       onCrashSuspects: fingerprints => this.#crashGuard.accuse(fingerprints)
@@ -198,6 +198,12 @@
     })
   }
 
+  /** Nodes whose backend server is not listed have no link from here, but they have one to this node. */
+  #sendToAll (text: string): void {
+    this.#mesh.sendToAll(text)
+    this.#peers.notifyAll(text, ip => this.#mesh.hasOpenLink(ip))
+  }
+
   /** Ends the node without cutting a request in hand. */
   stop (): void {
     if (this.#isStopping) return
@@ -206,8 +212,7 @@
     this.#options.log.event('stopping', { open: this.#entry.openCount, running: this.#executor.open.size })
     this.#callers.beginStop()
     this.#executor.beginStop()
-    this.#mesh.sendToAll(encodeNotice({ method: 'leaving' }))
-    this.#peers.notifyAll(encodeNotice({ method: 'leaving' }))
+    this.#sendToAll(encodeNotice({ method: 'leaving' }))
     this.#eachServerAt(this.#options.settings.ip, server => {
       placementDefinition.setLeaving(this.#placement, server, true)
     })
--- a/src/mesh/peerMesh.ts
+++ b/src/mesh/peerMesh.ts
@@ -32,6 +32,11 @@
     return this.#links.size
   }
 
+  /** Whether notices to all reach that node. */
+  hasOpenLink (ip: string): boolean {
+    return this.#links.get(ip)?.isOpen === true
+  }
+
   /** Looks at all links for silence. */
   check (): void {
     for (const link of this.#links.values()) link.check()
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -82,9 +82,11 @@
     return count
   }
 
-  /** Sends a notice to all nodes that are connected. */
-  notifyAll (text: string): void {
-    for (const session of this.#sessions.values()) session.socket?.send({ kind: FrameKind.Notice, text })
+  /** Sends a notice to all nodes that are connected, but for those that get it in another way. */
+  notifyAll (text: string, isReached: (ip: string) => boolean = () => false): void {
+    for (const { hello, socket } of this.#sessions.values()) {
+      if (!isReached(hello.ip)) socket?.send({ kind: FrameKind.Notice, text })
+    }
   }
 
   /** Sends a notice to the processes of one node that are connected; false if there is none. */
