Decode the kinds of requests into a union, and keep routes of unknown kinds in service

Cause: a route of the kind upload made the decoder refuse the whole configuration, so no request of the further deployments was served. Ruled out: a second boolean beside isIdempotent, since the core asks only what may be repeated. Now a kind is a union, upload is executed at most once, and a kind that is not known is executed at most once and named in the log with route, value and remedy.

--- a/src/core/configuration/configurationTypes.ts
+++ b/src/core/configuration/configurationTypes.ts
@@ -1,4 +1,5 @@
 import type { Millis } from '../../clock/clock.js'
+import type { RequestKind } from './requestKind.js'
 
 /** A service that gets a part of a route's requests, in proportion to its weight. */
 export interface WeightedService {
@@ -11,8 +12,7 @@
   readonly name: string
   readonly host: string
   readonly pathPrefix: string
-  /** Whether a request may be executed more than once. */
-  readonly isIdempotent: boolean
+  readonly requestKind: RequestKind
   /** Longest time until a request is answered, or null for no timeout. */
   readonly timeoutMs: Millis | null
   /** Latency objective, not a limit: an answer within this time has its full value to the caller. */
--- a/src/mesh/entryTask.ts
+++ b/src/mesh/entryTask.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationDb } from '../core/configuration/configurationDb.js'
 import { configurationDefinition } from '../core/configuration/configurationDefinition.js'
 import type { RouteRule } from '../core/configuration/configurationTypes.js'
+import { mayRepeat } from '../core/configuration/requestKind.js'
 import type { RandomSource } from '../core/coreTypes.js'
 import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
 import { discoveryDefinition } from '../core/discovery/discoveryDefinition.js'
@@ -174,7 +175,7 @@
         ? call.rule.latencyObjectiveMs * ROOT_QUEUE_WAIT_RATIO
         : remainingMs * SUB_CALL_QUEUE_WAIT_RATIO,
       rank: call.traceContext.rootImportanceRank + (call.parent === null ? ROOT_RANK_OFFSET : 0),
-      isIdempotent: call.rule.isIdempotent,
+      mayRepeat: mayRepeat(call.rule.requestKind),
       traceContext: call.mayHaveRun ? { ...call.traceContext, isRetry: true } : call.traceContext
     }
   }
@@ -249,10 +250,10 @@
     else this.#answerWithoutResult(call)
   }
 
-  /** Retries a call that may have run, if its route is idempotent. */
+  /** Retries a call that may have run, if its route allows repeats. */
   #retryAfterUnknownOutcome (call: EntryCall): void {
     if (call.openAttempts.length > 0) return
-    if (call.rule.isIdempotent && this.#tryTakeRetry(call)) this.#startAttempt(call)
+    if (mayRepeat(call.rule.requestKind) && this.#tryTakeRetry(call)) this.#startAttempt(call)
     else this.#answerWithoutResult(call)
   }
 
@@ -265,11 +266,11 @@
     return isAllowed
   }
 
-  /** Retries an idempotent call on another backend server while the unresponsive node may still answer. */
+  /** Retries a repeatable call on another backend server while the unresponsive node may still answer. */
   #onUnresponsive (call: EntryCall, attempt: Attempt): void {
     if (call.isEnded || attempt.isUnresponsive) return
     attempt.isUnresponsive = true
-    if (!call.rule.isIdempotent || call.openAttempts.some(open => !open.isUnresponsive)) return
+    if (!mayRepeat(call.rule.requestKind) || call.openAttempts.some(open => !open.isUnresponsive)) return
     call.mayHaveRun = true
     call.reachedBackendsCount += 1
     if (this.#tryTakeRetry(call)) this.#startAttempt(call)
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -88,7 +88,7 @@
       bytes: dialect.encodeRequest(this.call, remainingMs, this.#executor.serverId),
       isHead: this.call.method === 'HEAD',
       isOwnAnswer: head => dialect.isAnswerTo(head, this.call.requestId),
-      needsFreshConnection: !this.call.isIdempotent,
+      needsFreshConnection: !this.call.mayRepeat,
       onResult: result => this.#onResult(result)
     })
     if (this.#exchange === undefined) {
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -83,7 +83,7 @@
       return [
         frame.kind, frame.number, call.serviceName, call.serverId, call.requestId, call.method, call.target,
         call.headerText, call.body, Math.floor(call.remainingMs), Math.floor(call.queueWaitMaxMs), call.rank,
-        call.isIdempotent ? 1 : 0, traceContext.rootId, traceContext.rootRoute, traceContext.rootImportanceRank,
+        call.mayRepeat ? 1 : 0, traceContext.rootId, traceContext.rootRoute, traceContext.rootImportanceRank,
         traceContext.depth, traceContext.isRetry ? 1 : 0
       ]
     }
@@ -137,7 +137,7 @@
     case FrameKind.Call: {
       const [
         , number, serviceName, serverId, requestId, method, target, headerText, body, remainingMs, waitMaxMs, rank,
-        idempotentFlag, rootId, rootRoute, rootImportanceRank, depth, retryFlag
+        mayRepeatFlag, rootId, rootRoute, rootImportanceRank, depth, retryFlag
       ] = fields as [
         unknown, number, string, string, string, string, string, string, Buffer, number, number, number, number,
         string, string, number, number, number
@@ -156,7 +156,7 @@
           remainingMs,
           queueWaitMaxMs: waitMaxMs,
           rank,
-          isIdempotent: idempotentFlag === 1,
+          mayRepeat: mayRepeatFlag === 1,
           traceContext: { rootId, rootRoute, rootImportanceRank, depth, isRetry: retryFlag === 1 }
         }
       }
--- a/src/mesh/meshTypes.ts
+++ b/src/mesh/meshTypes.ts
@@ -32,7 +32,8 @@
   readonly queueWaitMaxMs: Millis
   /** Position among waiting calls: the lowest rank starts first. */
   readonly rank: number
-  readonly isIdempotent: boolean
+  /** Whether the call may be executed more than once. */
+  readonly mayRepeat: boolean
   readonly traceContext: TraceContext
 }
 
--- a/src/mesh/publishedStateTask.ts
+++ b/src/mesh/publishedStateTask.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationDb } from '../core/configuration/configurationDb.js'
 import { configurationDefinition } from '../core/configuration/configurationDefinition.js'
 import type { Configuration } from '../core/configuration/configurationTypes.js'
+import { findUnrecognizedKinds } from '../core/configuration/requestKind.js'
 import type { RandomSource } from '../core/coreTypes.js'
 import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
 import { discoveryDefinition } from '../core/discovery/discoveryDefinition.js'
@@ -156,6 +157,9 @@
     log.event('configuration_in_force', {
       version: result.version, replaced: result.replacedVersion, routes: configuration.routes.length, source
     })
+    for (const { routeName, value, remedy } of findUnrecognizedKinds(configuration.routes)) {
+      log.event('request_kind_unrecognized', { route: routeName, value, remedy })
+    }
     return true
   }
 
