Count repeated arrivals where calls run, and retry in an order of chains

Ruled out: slices of the window, restarted nodes (none before 23 s), a falling request rate. Change: the node of each server counts first and repeated arrivals and reports both with each result; whoever wants to retry adds up the reports of the service. Sub-calls of any run that is not the first arrival count as repeated, as the rule says. When the budget is nearly used up, chains are served in one order at all nodes, by importance and a hash of the root, since a chain needs all its calls.

--- a/src/core/fleetRetryBudget/fleetRetryBudgetDefinition.spec.ts
+++ b/src/core/fleetRetryBudget/fleetRetryBudgetDefinition.spec.ts
@@ -1,10 +1,11 @@
 import { fleetRetryBudgetDefinition as fleetRetryBudget } from './fleetRetryBudgetDefinition.js'
 
+const ROOT = { serversCount: 3, rootId: 'root', rootImportanceRank: 2 }
 const SETTINGS = { budgetRatio: 0.2, slackCount: 50, windowMs: 10_000 }
 
 /** Largest excess of retries over the budget in any window, when every request is retried as far as allowed. */
 function worstExcess (nodesCount: number, requestsPerS: (second: number) => number): number {
-  const dbs = Array.from({ length: nodesCount }, () => fleetRetryBudget.createDb(SETTINGS, 0))
+  const dbs = Array.from({ length: nodesCount }, () => fleetRetryBudget.createDb(SETTINGS, -SETTINGS.windowMs))
   for (const db of dbs) fleetRetryBudget.setNodesCount(db, nodesCount)
   const requests: number[] = []
   const retries: number[] = []
@@ -16,7 +17,7 @@
       for (let at = 0; at < count; at++) {
         fleetRetryBudget.recordRequest(db, 'deep', nowMs)
         requestsCount += 1
-        if (fleetRetryBudget.tryTakeRetry(db, 'deep', nowMs)) retriesCount += 1
+        if (fleetRetryBudget.tryTakeRetry(db, { ...ROOT, serviceName: 'deep' }, nowMs)) retriesCount += 1
       }
     }
     requests.push(requestsCount)
@@ -46,7 +47,38 @@
   })
 
   test('each service has its own budget', () => {
-    const db = fleetRetryBudget.createDb({ ...SETTINGS, slackCount: 2 }, 0)
-    expect([fleetRetryBudget.tryTakeRetry(db, 'a', 0), fleetRetryBudget.tryTakeRetry(db, 'a', 0), fleetRetryBudget.tryTakeRetry(db, 'b', 0)]).toEqual([true, false, true])
+    const db = fleetRetryBudget.createDb({ ...SETTINGS, slackCount: 2 }, -SETTINGS.windowMs)
+    expect(['a', 'a', 'b'].map(serviceName => fleetRetryBudget.tryTakeRetry(db, { ...ROOT, serviceName }, 0)))
+      .toEqual([true, false, true])
+  })
+
+  test('a process that has just started uses half of its slack, since its predecessor may have used it', () => {
+    const countRetries = (ageMs: number): number => {
+      const db = fleetRetryBudget.createDb({ ...SETTINGS, slackCount: 100 }, -ageMs)
+      let count = 0
+      while (fleetRetryBudget.tryTakeRetry(db, { ...ROOT, serviceName: 'a' }, 0)) count += 1
+      return count
+    }
+    expect([0, 9_999, 10_000].map(countRetries)).toEqual([35, 35, 70])
+  })
+
+  test('the node of a server that has just started reports no arrivals', () => {
+    const db = fleetRetryBudget.createDb(SETTINGS, 0)
+    fleetRetryBudget.recordArrival(db, true, 100)
+    expect(fleetRetryBudget.arrivalReport(db, 9_900)).toBeNull()
+    expect(fleetRetryBudget.arrivalReport(db, 10_000)).toEqual({ firstCount: 0, repeatedCount: 1 })
+  })
+
+  test('when the budget is nearly used up, the more important chains still retry', () => {
+    const allowedRanks = (pressure: number): number[] => {
+      const db = fleetRetryBudget.createDb(SETTINGS, -SETTINGS.windowMs)
+      for (let at = 0; at < 1_000; at++) fleetRetryBudget.recordRequest(db, 'deep', 0)
+      const report = { firstCount: 1_000, repeatedCount: pressure * (200 + 50 / 3) }
+      fleetRetryBudget.recordArrivalReport(db, 'deep', 'server-1', report, 0)
+      return [0, 1, 2].filter(rank => {
+        return fleetRetryBudget.tryTakeRetry(db, { ...ROOT, serviceName: 'deep', rootImportanceRank: rank }, 0)
+      })
+    }
+    expect([0.6, 0.75, 0.815, 0.9].map(allowedRanks)).toEqual([[0, 1, 2], [0, 1], [0], []])
   })
 })
--- a/src/core/fleetRetryBudget/fleetRetryBudgetDefinition.ts
+++ b/src/core/fleetRetryBudget/fleetRetryBudgetDefinition.ts
@@ -1,38 +1,44 @@
 import type { Millis } from '../../clock/clock.js'
+import { addToSlidingCount } from '../slidingCount.js'
 import { clearFleetRetryBudgetDb, createFleetRetryBudgetDb, getOrCreateCounts, type FleetRetryBudgetDb } from './fleetRetryBudgetDb.js'
-import { allowsRetry, SLICE_MS } from './fleetRetryBudgetDetector.js'
-
-/** Counts one event in the current slice and deletes the slices before the window. */
-function incrementCurrentSlice (slices: Map<number, number>, windowMs: Millis, nowMs: Millis): void {
-  const slice = Math.floor(nowMs / SLICE_MS)
-  slices.set(slice, (slices.get(slice) ?? 0) + 1)
-  const oldest = Math.floor((nowMs - windowMs) / SLICE_MS)
-  for (const key of slices.keys()) {
-    if (key >= oldest) break
-    slices.delete(key)
-  }
-}
+import { allowsRetry, arrivalReport } from './fleetRetryBudgetDetector.js'
+import type { ArrivalReport, RetryRequest } from './fleetRetryBudgetTypes.js'
 
 /** Records a request to a service, whether it is sent or refused. */
 function recordRequest (db: FleetRetryBudgetDb, serviceName: string, nowMs: Millis): void {
-  incrementCurrentSlice(getOrCreateCounts(db, serviceName).requestsBySlice, db.settings.windowMs, nowMs)
+  addToSlidingCount(getOrCreateCounts(db, serviceName).requests, 1, nowMs)
 }
 
 /**
- * Takes one retry from the budget if it allows one.
+ * Takes one retry from the budget if it allows one. When the budget is nearly used up,
+ * the chains that are first in the order of retries still get all they need.
  *
  * @example
- * tryTakeRetry(db, 'invoicing', 0) // false if the budget is exhausted
+ * const root = { rootId: 'r-7', rootImportanceRank: 0 }
+ * tryTakeRetry(db, { serviceName: 'invoicing', serversCount: 3, ...root }, 0) // false if it is used up
  */
-function tryTakeRetry (db: FleetRetryBudgetDb, serviceName: string, nowMs: Millis): boolean {
-  if (!allowsRetry(db, serviceName, nowMs)) return false
-  incrementCurrentSlice(getOrCreateCounts(db, serviceName).retriesBySlice, db.settings.windowMs, nowMs)
+function tryTakeRetry (db: FleetRetryBudgetDb, request: RetryRequest, nowMs: Millis): boolean {
+  const counts = getOrCreateCounts(db, request.serviceName)
+  if (!allowsRetry(db, counts, request, nowMs)) return false
+  addToSlidingCount(counts.retries, 1, nowMs)
   return true
 }
 
 /** Counts a sub-call that a retry of another call has caused as a retry. It is sent even if the budget is used up. */
 function recordSubCallOfRetry (db: FleetRetryBudgetDb, serviceName: string, nowMs: Millis): void {
-  incrementCurrentSlice(getOrCreateCounts(db, serviceName).retriesBySlice, db.settings.windowMs, nowMs)
+  addToSlidingCount(getOrCreateCounts(db, serviceName).retries, 1, nowMs)
+}
+
+/** Records a call that is sent to this node's own backend server. */
+function recordArrival (db: FleetRetryBudgetDb, isRepeated: boolean, nowMs: Millis): void {
+  addToSlidingCount(isRepeated ? db.arrivals.repeated : db.arrivals.first, 1, nowMs)
+}
+
+/** Stores what the node of a server of the service reports of its arrivals. */
+function recordArrivalReport (
+  db: FleetRetryBudgetDb, serviceName: string, serverId: string, report: ArrivalReport | null, nowMs: Millis
+): void {
+  if (report !== null) getOrCreateCounts(db, serviceName).reportsByServer.set(serverId, { report, receivedAtMs: nowMs })
 }
 
 /** The fleet-retry-budget module: keeps the retries of each service within a fleet-wide budget without shared state. */
@@ -42,5 +48,8 @@
   recordRequest,
   tryTakeRetry,
   recordSubCallOfRetry,
+  recordArrival,
+  recordArrivalReport,
+  arrivalReport,
   setNodesCount: (db: FleetRetryBudgetDb, nodesCount: number) => { db.nodesCount = nodesCount }
 }
--- a/src/core/fleetRetryBudget/fleetRetryBudgetDetector.ts
+++ b/src/core/fleetRetryBudget/fleetRetryBudgetDetector.ts
@@ -1,28 +1,93 @@
 import type { Millis } from '../../clock/clock.js'
-import { getOrCreateCounts, type FleetRetryBudgetDb } from './fleetRetryBudgetDb.js'
+import { hash32 } from '../hash.js'
+import { slidingCountAtLeast, slidingCountAtMost } from '../slidingCount.js'
+import type { FleetRetryBudgetDb, ServiceCounts } from './fleetRetryBudgetDb.js'
+import type { ArrivalReport, RetryRequest } from './fleetRetryBudgetTypes.js'
 
-/** Slice length of the sliding-window counters; shorter slices are more exact and use more memory. */
-export const SLICE_MS: Millis = 500
-/** Fraction of the budget that is used; the rest covers retries in transit and slices partly outside the window. */
-const ALLOWANCE_USED_RATIO = 0.8
+/** Part of a node's share that it uses while the nodes of the service report the retries that arrive. */
+const USED_RATIO_WITH_REPORTS = 0.9
+/** Part of a node's share that it uses without reports: sub-calls of retries that enter at other nodes are unknown. */
+const USED_RATIO_WITHOUT_REPORTS = 0.7
+/** Age at which a report is no longer used. */
+const REPORT_LIFETIME_MS: Millis = 2_500
+/** Pressure up to which the first chain in the order may retry. */
+const PRESSURE_OF_FIRST_RATIO = 0.88
+/** Pressure up to which the last chain in the order may retry. */
+const PRESSURE_OF_LAST_RATIO = 0.68
+/** Importance ranks that are told apart; less important ones share the last place. */
+const RANKS_COUNT = 3
+/** Part of its share of the slack that a process uses in the first window after its start. */
+const NEW_PROCESS_SLACK_RATIO = 0.5
+const HASH_MAX = 0xffff_ffff
+/** Seed that makes the order of retries independent of other uses of the hash. */
+const ORDER_HASH_SEED = 0x5eed
 
-function sumSince (slices: Map<number, number>, firstSlice: number): number {
-  let sum = 0
-  for (const [slice, count] of slices) if (slice >= firstSlice) sum += count
-  return sum
+/**
+ * Place of a chain in the order of retries, from 0 (first) to 1: by importance, then by a hash of the root's id.
+ * A chain needs all its calls, so retries that are spread over all chains complete few of them.
+ */
+function retryOrder ({ rootId, rootImportanceRank }: RetryRequest): number {
+  const rank = Math.min(RANKS_COUNT - 1, Math.max(0, Math.floor(rootImportanceRank)))
+  return (rank + hash32(rootId, ORDER_HASH_SEED) / HASH_MAX) / RANKS_COUNT
+}
+
+/**
+ * Repeated arrivals at the servers that reported lately, relative to their part of the budget: 1 when it is used
+ * up. The counts are added up, since retries may go to other servers than most first sends. Null without a report.
+ */
+function reportedPressure (
+  db: FleetRetryBudgetDb, counts: ServiceCounts, serversCount: number, nowMs: Millis
+): number | null {
+  let knownCount = 0
+  let firstCount = 0
+  let repeatedCount = 0
+  for (const [serverId, { report, receivedAtMs }] of counts.reportsByServer) {
+    if (nowMs - receivedAtMs >= REPORT_LIFETIME_MS) {
+      counts.reportsByServer.delete(serverId)
+      continue
+    }
+    knownCount += 1
+    firstCount += report.firstCount
+    repeatedCount += report.repeatedCount
+  }
+  if (knownCount === 0) return null
+  const slackCount = db.settings.slackCount * Math.min(1, knownCount / Math.max(1, serversCount))
+  return repeatedCount / (firstCount * db.settings.budgetRatio + slackCount)
+}
+
+/** The part of the fleet's slack that is this node's. A new process may follow one that has used it. */
+function slackShare (db: FleetRetryBudgetDb, nowMs: Millis): number {
+  const isNew = nowMs - db.startedAtMs < db.settings.windowMs
+  return db.settings.slackCount * (isNew ? NEW_PROCESS_SLACK_RATIO : 1) / Math.max(1, db.nodesCount)
+}
+
+/**
+ * Whether one more retry stays within this node's share of the budget: `budgetRatio` of
+ * the requests that it recorded itself, plus an equal share of the slack. While the nodes of
+ * the service report the retries that arrive at all of them, these must leave room as well.
+ */
+export function allowsRetry (
+  db: FleetRetryBudgetDb, counts: ServiceCounts, request: RetryRequest, nowMs: Millis
+): boolean {
+  const pressure = reportedPressure(db, counts, request.serversCount, nowMs)
+  if (pressure !== null) {
+    const pressureMax = PRESSURE_OF_FIRST_RATIO -
+      (PRESSURE_OF_FIRST_RATIO - PRESSURE_OF_LAST_RATIO) * retryOrder(request)
+    if (pressure >= pressureMax) return false
+  }
+  const shareCount = slidingCountAtLeast(counts.requests, nowMs) * db.settings.budgetRatio + slackShare(db, nowMs)
+  const usedRatio = pressure !== null ? USED_RATIO_WITH_REPORTS : USED_RATIO_WITHOUT_REPORTS
+  return slidingCountAtMost(counts.retries, nowMs) + 1 <= shareCount * usedRatio
 }
 
 /**
- * Whether one more retry stays within this node's part of the budget: `budgetRatio` of
- * the requests that it recorded itself, plus an equal share of the slack. The oldest slice
- * lies partly outside the window; it is left out for requests and included for retries.
+ * Arrivals at this node's backend server. Null in the first window after the start, since the former process may
+ * have received calls that this one does not know.
  */
-export function allowsRetry (db: FleetRetryBudgetDb, serviceName: string, nowMs: Millis): boolean {
-  const counts = getOrCreateCounts(db, serviceName)
-  const { windowMs, budgetRatio, slackCount } = db.settings
-  const firstSlice = Math.floor((nowMs - windowMs) / SLICE_MS)
-  const requestsCount = sumSince(counts.requestsBySlice, firstSlice + 1)
-  const retriesCount = sumSince(counts.retriesBySlice, firstSlice)
-  const allowedCount = (requestsCount * budgetRatio + slackCount / Math.max(1, db.nodesCount)) * ALLOWANCE_USED_RATIO
-  return retriesCount + 1 <= allowedCount
+export function arrivalReport (db: FleetRetryBudgetDb, nowMs: Millis): ArrivalReport | null {
+  if (nowMs - db.startedAtMs < db.settings.windowMs) return null
+  return {
+    firstCount: slidingCountAtLeast(db.arrivals.first, nowMs),
+    repeatedCount: slidingCountAtMost(db.arrivals.repeated, nowMs)
+  }
 }
--- a/src/core/fleetRetryBudget/fleetRetryBudgetTypes.ts
+++ b/src/core/fleetRetryBudget/fleetRetryBudgetTypes.ts
@@ -9,3 +9,21 @@
   /** Length of the sliding window over which the budget holds. */
   readonly windowMs: Millis
 }
+
+/** Calls that arrived at one backend server within the window of the budget, as its node counted them. */
+export interface ArrivalReport {
+  readonly firstCount: number
+  /** Arrivals of calls that another server or this one received before, and of sub-calls of such calls. */
+  readonly repeatedCount: number
+}
+
+/** Who asks for a retry. */
+export interface RetryRequest {
+  readonly serviceName: string
+  /** Number of listed servers of the service. */
+  readonly serversCount: number
+  /** Importance rank of the root request; 0 is the most important. */
+  readonly rootImportanceRank: number
+  /** Id of the root request: all calls of one chain get the same place in the order of retries. */
+  readonly rootId: string
+}
--- a/src/mesh/entryTask.ts
+++ b/src/mesh/entryTask.ts
@@ -176,7 +176,7 @@
         : remainingMs * SUB_CALL_QUEUE_WAIT_RATIO,
       rank: call.traceContext.rootImportanceRank + (call.parent === null ? ROOT_RANK_OFFSET : 0),
       mayRepeat: mayRepeat(call.rule.requestKind),
-      traceContext: call.mayHaveRun ? { ...call.traceContext, isRetry: true } : call.traceContext
+      traceContext: call.reachedBackendsCount > 0 ? { ...call.traceContext, isRetry: true } : call.traceContext
     }
   }
 
@@ -226,9 +226,13 @@
   }
 
   #applyReport (
-    call: EntryCall, attempt: Attempt, result: DispatchResult, { load, usage }: ResultReport, nowMs: Millis
+    call: EntryCall, attempt: Attempt, result: DispatchResult, report: ResultReport, nowMs: Millis
   ): void {
-    const { chainAdmission, placement } = this.#options
+    const { load, usage, arrivals } = report
+    const { chainAdmission, fleetRetryBudget, placement } = this.#options
+    fleetRetryBudgetDefinition.recordArrivalReport(
+      fleetRetryBudget, call.serviceName, attempt.server.serverId, arrivals, nowMs
+    )
     placementDefinition.recordLoadReport(placement, attempt.server, load, nowMs)
     chainAdmissionDefinition.recordUtilization(chainAdmission, usage, nowMs)
     if (call.parent !== null) call.parent.addDownstreamUsage(usage)
@@ -261,7 +265,11 @@
   #tryTakeRetry (call: EntryCall): boolean {
     const nowMs = this.#options.clock.monotonicMs()
     if (call.reachedBackendsCount >= call.rule.attemptsMaxCount || nowMs >= call.deadlineAtMs) return false
-    const isAllowed = fleetRetryBudgetDefinition.tryTakeRetry(this.#options.fleetRetryBudget, call.serviceName, nowMs)
+    const isAllowed = fleetRetryBudgetDefinition.tryTakeRetry(this.#options.fleetRetryBudget, {
+      serviceName: call.serviceName,
+      serversCount: discoveryDefinition.serversOf(this.#options.discovery, call.serviceName).length,
+      ...call.traceContext
+    }, nowMs)
     this.#options.metrics.incrementCounter('second_sends', { allowed: String(isAllowed), service: call.serviceName })
     return isAllowed
   }
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -1,5 +1,7 @@
 import type { Clock, Millis } from '../clock/clock.js'
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
+import type { FleetRetryBudgetDb } from '../core/fleetRetryBudget/fleetRetryBudgetDb.js'
+import { fleetRetryBudgetDefinition } from '../core/fleetRetryBudget/fleetRetryBudgetDefinition.js'
 import type { SlotsDb } from '../core/slots/slotsDb.js'
 import { slotsDefinition } from '../core/slots/slotsDefinition.js'
 import type { SlotRefusal, WaitingCall } from '../core/slots/slotsTypes.js'
@@ -24,6 +26,7 @@
   readonly pool: ExchangePool
   readonly dialect: BackendDialect
   readonly slots: SlotsDb
+  readonly fleetRetryBudget: FleetRetryBudgetDb
   readonly crashGuard: CrashGuard
   readonly log: NodeLog
   readonly metrics: NodeMetrics
@@ -75,7 +78,7 @@
 
   /** Writes the request. The deadline is checked here, since the process may have been paused before. */
   #start (): void {
-    const { clock, dialect, pool } = this.#executor.options
+    const { clock, dialect, fleetRetryBudget, pool } = this.#executor.options
     this.#stage = 'running'
     this.#startedAtMs = clock.monotonicMs()
     this.#executor.runningById.set(this.call.requestId, this)
@@ -84,6 +87,7 @@
       this.#finishAndReleaseSlot({ kind: 'not_run', reason: RefusalReason.DeadlinePassed, reachedBackend: false })
       return
     }
+    fleetRetryBudgetDefinition.recordArrival(fleetRetryBudget, this.call.traceContext.isRetry, this.#startedAtMs)
     this.#exchange = pool.send({
       bytes: dialect.encodeRequest(this.call, remainingMs, this.#executor.serverId),
       isHead: this.call.method === 'HEAD',
@@ -163,11 +167,13 @@
 
   /** Load of this node's backend server and the usage of one call: its slot time here and that of its sub-calls. */
   createReport (slotMs: Millis = 0, downstream: readonly ServiceUsage[] = []): ResultReport {
-    const { slots, clock, serviceName } = this.options
+    const { slots, clock, fleetRetryBudget, serviceName } = this.options
+    const nowMs = clock.monotonicMs()
     const reading = slotsDefinition.getLoadReport(slots)
     const load = this.#isStopping ? { ...reading, acceptsWork: false } : reading
-    const utilizationRatio = slotsDefinition.getUtilizationRatio(slots, clock.monotonicMs())
-    return { load, usage: [{ serviceName, slotMs, utilizationRatio }, ...downstream] }
+    const utilizationRatio = slotsDefinition.getUtilizationRatio(slots, nowMs)
+    const arrivals = fleetRetryBudgetDefinition.arrivalReport(fleetRetryBudget, nowMs)
+    return { load, usage: [{ serviceName, slotMs, utilizationRatio }, ...downstream], arrivals }
   }
 
   remove (execution: Execution): void {
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -48,10 +48,15 @@
 const packr = new Packr({ useRecords: false, moreTypes: false, encodeUndefinedAsNil: true })
 
 const PER_MILLE = 1000
+/** Stands for counts that the sender does not know. */
+const NOT_KNOWN = -1
 
-/** Encodes the load as four numbers, then three fields for each service in the usage. */
-function encodeReport ({ load, usage }: ResultReport): unknown[] {
-  const fields: unknown[] = [load.runningCount, load.queuedCount, load.limitCount, load.acceptsWork ? 1 : 0]
+/** Encodes the load and the arrivals as six numbers, then three fields for each service in the usage. */
+function encodeReport ({ load, usage, arrivals }: ResultReport): unknown[] {
+  const fields: unknown[] = [
+    load.runningCount, load.queuedCount, load.limitCount, load.acceptsWork ? 1 : 0,
+    arrivals === null ? NOT_KNOWN : arrivals.firstCount, arrivals === null ? NOT_KNOWN : arrivals.repeatedCount
+  ]
   for (const { serviceName, slotMs, utilizationRatio } of usage) {
     fields.push(serviceName, Math.round(slotMs), Math.round(utilizationRatio * PER_MILLE))
   }
@@ -118,13 +123,18 @@
 
 function decodeReport (field: unknown): ResultReport {
   const fields = field as unknown[]
-  const [runningCount, queuedCount, limitCount, acceptsWork] = fields as [number, number, number, number]
+  const [runningCount, queuedCount, limitCount, acceptsWork, firstCount, repeatedCount] =
+    fields as [number, number, number, number, number, number]
   const usage: ServiceUsage[] = []
-  for (let index = 4; index + 2 < fields.length; index += 3) {
+  for (let index = 6; index + 2 < fields.length; index += 3) {
     const [serviceName, slotMs, perMille] = fields.slice(index, index + 3) as [string, number, number]
     usage.push({ serviceName, slotMs, utilizationRatio: perMille / PER_MILLE })
   }
-  return { load: { runningCount, queuedCount, limitCount, acceptsWork: acceptsWork === 1 }, usage }
+  return {
+    load: { runningCount, queuedCount, limitCount, acceptsWork: acceptsWork === 1 },
+    usage,
+    arrivals: firstCount === NOT_KNOWN ? null : { firstCount, repeatedCount }
+  }
 }
 
 function decodeFields (fields: readonly unknown[]): Frame {
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -114,6 +114,7 @@
       pool: this.#createBackendPool(),
       dialect: options.backendDialect,
       slots: this.#slots,
+      fleetRetryBudget: this.#fleetRetryBudget,
       crashGuard: this.#crashGuard,
       log,
       metrics: this.#metrics
--- a/src/mesh/meshTypes.ts
+++ b/src/mesh/meshTypes.ts
@@ -1,5 +1,6 @@
 import type { Millis } from '../clock/clock.js'
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
+import type { ArrivalReport } from '../core/fleetRetryBudget/fleetRetryBudgetTypes.js'
 import type { LoadReport } from '../core/placement/placementTypes.js'
 
 /** Context of the root request, propagated to all calls made for it. */
@@ -10,7 +11,7 @@
   readonly rootImportanceRank: number
   /** 0 for the root request itself. */
   readonly depth: number
-  /** Whether the call is a retry of one that may have run, or was made by such a retry. */
+  /** Whether another backend server received the call before, or it was made by a call of which this is true. */
   readonly isRetry: boolean
 }
 
@@ -42,6 +43,8 @@
   readonly load: LoadReport
   /** Resources used by the call and its sub-calls, by service. */
   readonly usage: readonly ServiceUsage[]
+  /** Calls that arrived at the backend server lately, or null while they are not known. */
+  readonly arrivals: ArrivalReport | null
 }
 
 /** Why a call did not run. Except for `BackendShed`, no byte of it reached a backend server. */
--- a/src/mesh/peerLink.spec.ts
+++ b/src/mesh/peerLink.spec.ts
@@ -5,7 +5,9 @@
 import { PeerServer } from './peerServer.js'
 
 const HELLO = { ip: '127.0.0.1', dataCentre: 'tartu', serviceName: 'depot' }
-const REPORT = { load: { runningCount: 1, queuedCount: 0, limitCount: 10, acceptsWork: true }, usage: [] }
+const REPORT = {
+  load: { runningCount: 1, queuedCount: 0, limitCount: 10, acceptsWork: true }, usage: [], arrivals: null
+}
 
 function createCall (requestId: string): DispatchedCall {
   return {
--- a/src/policy/policyModel.ts
+++ b/src/policy/policyModel.ts
@@ -44,6 +44,7 @@
 }
 
 interface RootRequestState {
+  readonly id: string
   readonly route: ModelRoute
   readonly deadlineAtMs: Millis
   isOver: boolean
@@ -70,6 +71,7 @@
   readonly #admissions: ChainAdmissionDb[]
   readonly #retryBudgets: FleetRetryBudgetDb[]
   readonly #score: PolicyScore
+  #rootsCount = 0
 
   constructor (plan: ModelPlan) {
     this.#plan = plan
@@ -127,7 +129,9 @@
       this.#handleRequestEnd(route, firstSentAtMs, attempt, 'refused')
       return
     }
-    const root: RootRequestState = { route, deadlineAtMs: nowMs + route.timeoutMs, isOver: false, workMs: 0 }
+    const root: RootRequestState = {
+      id: String(this.#rootsCount++), route, deadlineAtMs: nowMs + route.timeoutMs, isOver: false, workMs: 0
+    }
     const endRequest = (kind: 'served' | 'refused' | 'failed'): void => {
       if (root.isOver) return
       root.isOver = true
@@ -177,7 +181,9 @@
         chainAdmissionDefinition.recordUtilization(this.#admissions[entryIndex]!, outcome.usage, this.#events.nowMs)
         const mayResend = outcome.wasShed && !root.isOver && this.#plan.policy === Policy.Chain &&
           triedServers.length < SENDS_MAX_COUNT &&
-          fleetRetryBudgetDefinition.tryTakeRetry(this.#retryBudgets[entryIndex]!, route.service, this.#events.nowMs)
+          fleetRetryBudgetDefinition.tryTakeRetry(this.#retryBudgets[entryIndex]!, {
+            serviceName: route.service, serversCount: 0, rootId: root.id, rootImportanceRank: root.route.importanceRank
+          }, this.#events.nowMs)
         if (mayResend) send()
         else onDone(outcome)
       }))
