--- a/src/core/fleetRetryBudget/fleetRetryBudgetDetector.ts
+++ b/src/core/fleetRetryBudget/fleetRetryBudgetDetector.ts
@@ -10,12 +10,10 @@
 const USED_RATIO_WITHOUT_REPORTS = 0.7
 /** Age at which a report is no longer used. */
 const REPORT_LIFETIME_MS: Millis = 2_500
-/** Pressure up to which the first chain in the order may retry. */
-const PRESSURE_OF_FIRST_RATIO = 0.88
-/** Pressure up to which the last chain in the order may retry. */
-const PRESSURE_OF_LAST_RATIO = 0.68
-/** Importance ranks that are told apart; less important ones share the last place. */
-const RANKS_COUNT = 3
+/** Pressure up to which the first chain in the order may retry. The last one may retry at no pressure only. */
+const PRESSURE_MAX_RATIO = 0.88
+/** How far the chains of an importance rank are spread over the order; all ranks begin at its front. */
+const ORDER_SPREAD_BY_RANK = [0.4, 0.7, 1]
 /** Part of its share of the slack that a process uses in the first window after its start. */
 const NEW_PROCESS_SLACK_RATIO = 0.5
 const HASH_MAX = 0xffff_ffff
@@ -23,12 +21,12 @@
 const ORDER_HASH_SEED = 0x5eed
 
 /**
- * Place of a chain in the order of retries, from 0 (first) to 1: by importance, then by a hash of the root's id.
- * A chain needs all its calls, so retries that are spread over all chains complete few of them.
+ * Place of a chain in the order of retries, from 0 (first) to 1: by a hash of the root's id, so that it is the same
+ * at all nodes. A chain needs all its calls, so retries that are spread over all chains complete few of them.
  */
 function retryOrder ({ rootId, rootImportanceRank }: RetryRequest): number {
-  const rank = Math.min(RANKS_COUNT - 1, Math.max(0, Math.floor(rootImportanceRank)))
-  return (rank + hash32(rootId, ORDER_HASH_SEED) / HASH_MAX) / RANKS_COUNT
+  const rank = Math.min(ORDER_SPREAD_BY_RANK.length - 1, Math.max(0, Math.floor(rootImportanceRank)))
+  return ORDER_SPREAD_BY_RANK[rank]! * hash32(rootId, ORDER_HASH_SEED) / HASH_MAX
 }
 
 /**
@@ -71,9 +69,7 @@
 ): boolean {
   const pressure = reportedPressure(db, counts, request.serversCount, nowMs)
   if (pressure !== null) {
-    const pressureMax = PRESSURE_OF_FIRST_RATIO -
-      (PRESSURE_OF_FIRST_RATIO - PRESSURE_OF_LAST_RATIO) * retryOrder(request)
-    if (pressure >= pressureMax) return false
+    if (pressure > 0 && pressure >= PRESSURE_MAX_RATIO * (1 - retryOrder(request))) return false
   }
   const shareCount = slidingCountAtLeast(counts.requests, nowMs) * db.settings.budgetRatio + slackShare(db, nowMs)
   const usedRatio = pressure !== null ? USED_RATIO_WITH_REPORTS : USED_RATIO_WITHOUT_REPORTS
--- a/src/mesh/entryCall.ts
+++ b/src/mesh/entryCall.ts
@@ -31,8 +31,12 @@
   readonly triedServerIds: string[] = []
   timer: NodeJS.Timeout | null = null
   isEnded = false
-  /** Number of backend servers that may have started to run the call or that refused it themselves. */
-  reachedBackendsCount = 0
+  /** Backend servers that may have started to run the call or that refused it themselves. */
+  readonly reachedServerIds = new Set<string>()
+  /** Backend servers that refused the call themselves; each may get it again. */
+  readonly refusedByServerIds = new Set<string>()
+  /** Number of sends that reached a backend server. */
+  reachedSendsCount = 0
   /** Whether a backend server may have run the call. */
   mayHaveRun = false
   /** Number of nodes and backend servers that refused the call. */
@@ -62,6 +66,16 @@
       : { ...parent.call.traceContext, depth: parent.call.traceContext.depth + 1 }
   }
 
+  /** Whether the route allows no further backend server; those that refused the call may still get it again. */
+  get hasReachedAllServers (): boolean {
+    return this.reachedServerIds.size >= this.rule.attemptsMaxCount
+  }
+
+  recordReached (server: ListedServer): void {
+    this.reachedServerIds.add(server.serverId)
+    this.reachedSendsCount += 1
+  }
+
   get openAttempts (): Attempt[] {
     return this.attempts.filter(attempt => attempt.handle !== null)
   }
--- a/src/mesh/entryTask.ts
+++ b/src/mesh/entryTask.ts
@@ -29,6 +29,8 @@
 const REQUEST_TIMEOUT_DEFAULT_MS: Millis = 30_000
 /** Nodes tried one after the other before a call is refused; each costs a round trip. */
 const REFUSALS_MAX_COUNT = 3
+/** Sends of one call that reach a backend server, at most. Servers that refuse at random accept one of a few. */
+const SENDS_MAX_COUNT = 6
 /** Timeouts are rounded up to this granularity, so that several expire in one wake-up of the event loop. */
 const TIMER_GRANULARITY_MS: Millis = 5
 /** Longest wait of a root request for a slot, as a share of its latency objective; after that it is refused. */
@@ -142,9 +144,10 @@
   #startAttempt (call: EntryCall): void {
     const { clock, discovery, placement, random, dispatch } = this.#options
     const nowMs = clock.monotonicMs()
-    const server = placementDefinition.chooseServer(placement, {
-      servers: discoveryDefinition.serversOf(discovery, call.serviceName), triedServerIds: call.triedServerIds
-    }, nowMs, random)
+    const servers = discoveryDefinition.serversOf(discovery, call.serviceName)
+    const server = placementDefinition.chooseServer(placement, call.hasReachedAllServers
+      ? { servers: servers.filter(({ serverId }) => call.refusedByServerIds.has(serverId)), triedServerIds: [] }
+      : { servers, triedServerIds: call.triedServerIds }, nowMs, random)
     if (server === undefined) {
       this.#answerWithoutResult(call)
       return
@@ -176,7 +179,7 @@
         : remainingMs * SUB_CALL_QUEUE_WAIT_RATIO,
       rank: call.traceContext.rootImportanceRank + (call.parent === null ? ROOT_RANK_OFFSET : 0),
       mayRepeat: mayRepeat(call.rule.requestKind),
-      traceContext: call.reachedBackendsCount > 0 ? { ...call.traceContext, isRetry: true } : call.traceContext
+      traceContext: call.reachedSendsCount > 0 ? { ...call.traceContext, isRetry: true } : call.traceContext
     }
   }
 
@@ -193,11 +196,14 @@
         return
       case 'not_run':
         call.lastRefusal = result.reason
-        if (result.reachedBackend) call.reachedBackendsCount += 1
+        if (result.reachedBackend) {
+          call.recordReached(attempt.server)
+          call.refusedByServerIds.add(attempt.server.serverId)
+        }
         this.#retryAfterRefusal(call, result.reachedBackend)
         return
       case 'unknown':
-        call.reachedBackendsCount += 1
+        call.recordReached(attempt.server)
         call.mayHaveRun = true
         call.lastUnknownReason = result.reason
         this.#retryAfterUnknownOutcome(call)
@@ -261,10 +267,11 @@
     else this.#answerWithoutResult(call)
   }
 
-  /** Whether the call may be retried on one more backend server; if so, deducts it from the service's retry budget. */
+  /** Whether the call may be sent to a backend server once more; if so, deducts it from the service's retry budget. */
   #tryTakeRetry (call: EntryCall): boolean {
     const nowMs = this.#options.clock.monotonicMs()
-    if (call.reachedBackendsCount >= call.rule.attemptsMaxCount || nowMs >= call.deadlineAtMs) return false
+    if (nowMs >= call.deadlineAtMs || call.reachedSendsCount >= SENDS_MAX_COUNT) return false
+    if (call.hasReachedAllServers && call.refusedByServerIds.size === 0) return false
     const isAllowed = fleetRetryBudgetDefinition.tryTakeRetry(this.#options.fleetRetryBudget, {
       serviceName: call.serviceName,
       serversCount: discoveryDefinition.serversOf(this.#options.discovery, call.serviceName).length,
@@ -280,7 +287,7 @@
     attempt.isUnresponsive = true
     if (!mayRepeat(call.rule.requestKind) || call.openAttempts.some(open => !open.isUnresponsive)) return
     call.mayHaveRun = true
-    call.reachedBackendsCount += 1
+    call.recordReached(attempt.server)
     if (this.#tryTakeRetry(call)) this.#startAttempt(call)
   }
 
