--- a/src/core/discovery/discoveryDb.ts
+++ b/src/core/discovery/discoveryDb.ts
@@ -1,5 +1,5 @@
 import type { Millis } from '../../clock/clock.js'
-import type { ListedServer } from './discoveryTypes.js'
+import type { ListedChange, ListedServer } from './discoveryTypes.js'
 
 /** State of the discovery module: the server list as known at this node, with indexes. */
 export interface DiscoveryDb {
@@ -11,6 +11,9 @@
   revision: number
   /** When the newest information on the list left the store, by this node's monotonic clock. */
   newestReadAtMs: Millis
+  /** The latest changes, which are complete from `changesAfterRevision` on. */
+  readonly recentChanges: ListedChange[]
+  changesAfterRevision: number
   /** Revision at which each entry was removed, so that an older copy from a peer does not restore it. */
   readonly removedAtRevision: Map<string, number>
   /** Servers whose entries lapsed during an outage of the store, with the time until which they are still used. */
@@ -20,6 +23,29 @@
 /** Largest number of removals kept; a peer's copy of the list lags behind by far fewer. */
 const REMOVALS_MAX_COUNT = 5_000
 
+/** Largest number of changes kept for nodes that lag behind. */
+const RECENT_CHANGES_MAX_COUNT = 200
+
+/** Keeps changes for nodes that lag behind, and drops the oldest ones beyond the maximum. */
+export function recordRecentChanges (db: DiscoveryDb, changes: readonly ListedChange[]): void {
+  db.recentChanges.push(...changes)
+  const surplus = db.recentChanges.length - RECENT_CHANGES_MAX_COUNT
+  if (surplus <= 0) return
+  for (const change of db.recentChanges.splice(0, surplus)) {
+    db.changesAfterRevision = Math.max(db.changesAfterRevision, revisionOf(change))
+  }
+}
+
+/** Forgets the changes, because some were missed before this revision. */
+export function restartRecentChanges (db: DiscoveryDb, revision: number): void {
+  db.recentChanges.length = 0
+  db.changesAfterRevision = revision
+}
+
+export function revisionOf (change: ListedChange): number {
+  return change.kind === 'written' ? change.server.revision : change.revision
+}
+
 /** Records the revision at which an entry was removed, and drops the oldest record beyond the maximum. */
 export function recordRemoval (db: DiscoveryDb, serverId: string, revision: number): void {
   db.removedAtRevision.set(serverId, revision)
@@ -35,6 +61,8 @@
     byAddress: new Map(),
     revision: -1,
     newestReadAtMs: -Infinity,
+    recentChanges: [],
+    changesAfterRevision: -1,
     removedAtRevision: new Map(),
     lapsedKeptUntilMs: new Map()
   }
@@ -47,6 +75,8 @@
   db.byAddress = new Map()
   db.revision = -1
   db.newestReadAtMs = -Infinity
+  db.recentChanges.length = 0
+  db.changesAfterRevision = -1
   db.removedAtRevision.clear()
   db.lapsedKeptUntilMs.clear()
 }
--- a/src/core/discovery/discoveryDefinition.spec.ts
+++ b/src/core/discovery/discoveryDefinition.spec.ts
@@ -143,3 +143,29 @@
     }
   })
 })
+
+describe('changes for nodes that lag behind', () => {
+  test('are complete from the last full copy on', () => {
+    const db = discovery.createDb()
+    discovery.applySnapshot(db, { revision: 10, servers: [server('a', 4), server('b', 7)] }, 0)
+    const written: ListedChange = { kind: 'written', server: server('c', 12) }
+    const removed: ListedChange = { kind: 'removed', serverId: 'a', revision: 14 }
+    discovery.applyChanges(db, { afterRevision: 10, revision: 12, changes: [written] }, 1)
+    discovery.applyChanges(db, { afterRevision: 12, revision: 15, changes: [removed] }, 2)
+    expect(discovery.changesAfter(db, 9)).toBeNull()
+    expect(discovery.changesAfter(db, 10)).toHaveLength(2)
+    expect(discovery.changesAfter(db, 12)).toEqual([removed])
+    expect(discovery.changesAfter(db, 15)).toEqual([])
+  })
+
+  test('are dropped from the oldest on', () => {
+    const db = discovery.createDb()
+    discovery.applySnapshot(db, { revision: 1, servers: [] }, 0)
+    for (let revision = 2; revision < 302; revision++) {
+      const change = { kind: 'written' as const, server: server(`s${revision}`, revision) }
+      discovery.applyChanges(db, { afterRevision: revision - 1, revision, changes: [change] }, revision)
+    }
+    expect(discovery.changesAfter(db, 100)).toBeNull()
+    expect(discovery.changesAfter(db, 101)).toHaveLength(200)
+  })
+})
--- a/src/core/discovery/discoveryDefinition.ts
+++ b/src/core/discovery/discoveryDefinition.ts
@@ -1,7 +1,12 @@
 import type { Millis } from '../../clock/clock.js'
-import { clearDiscoveryDb, createDiscoveryDb, rebuildIndexes, recordRemoval, type DiscoveryDb } from './discoveryDb.js'
+import {
+  clearDiscoveryDb, createDiscoveryDb, rebuildIndexes, recordRecentChanges, recordRemoval, restartRecentChanges,
+  revisionOf, type DiscoveryDb
+} from './discoveryDb.js'
 import { isOtherIncarnation, affectsRouting, isFirstReadAfterOutage } from './discoveryDetector.js'
-import { ServerState, type ListedChange, type ListedServer, type ListEvent, type ListSnapshot } from './discoveryTypes.js'
+import {
+  ServerState, type ListedChange, type ListedServer, type ListEvent, type ListSnapshot
+} from './discoveryTypes.js'
 
 const NO_SERVERS: readonly ListedServer[] = []
 /**
@@ -86,7 +91,16 @@
   for (const serverId of [...db.servers.keys()]) {
     if (!listedIds.has(serverId)) removeEntry(update, serverId, snapshot.revision)
   }
-  return finishUpdate(update, snapshot.revision)
+  const events = finishUpdate(update, snapshot.revision)
+  restartRecentChanges(db, db.revision)
+  return events
+}
+
+/** The change of an entry that an event describes. */
+function toListedChange (event: ListEvent): ListedChange {
+  return event.kind === 'left'
+    ? { kind: 'removed', serverId: event.server.serverId, revision: event.revision }
+    : { kind: 'written', server: event.server }
 }
 
 /** The changes from after `afterRevision` up to `revision`, from a watch of the store or from a peer that read them. */
@@ -110,7 +124,15 @@
     if (change.kind === 'written') writeEntry(update, change.server)
     else removeEntry(update, change.serverId, change.revision)
   }
-  return finishUpdate(update, revision)
+  const events = finishUpdate(update, revision)
+  recordRecentChanges(db, events.map(toListedChange))
+  return events
+}
+
+/** The changes after a revision, or null if some of them are no longer known. */
+function changesAfter (db: DiscoveryDb, afterRevision: number): readonly ListedChange[] | null {
+  if (db.revision < 0 || afterRevision < db.changesAfterRevision) return null
+  return db.recentChanges.filter(change => revisionOf(change) > afterRevision)
 }
 
 /** Removes servers whose entries lapsed and were not written again in time. */
@@ -125,6 +147,7 @@
     events.push({ kind: 'left', server, revision: db.revision })
   }
   if (events.length > 0) rebuildIndexes(db)
+  recordRecentChanges(db, events.map(toListedChange))
   return events
 }
 
@@ -151,6 +174,8 @@
   applySnapshot,
   hasNoRevisionGap,
   applyChanges,
+  toListedChange,
+  changesAfter,
   removeLapsedServers,
   serversOf,
   serverAt,
--- a/src/core/discovery/readSchedule.ts
+++ b/src/core/discovery/readSchedule.ts
@@ -15,8 +15,10 @@
 const SINGLE_NODE_WAIT_MS: Millis = 2_000
 /** Each further reader waits this much longer for updates before it takes over and reads the store. */
 const TAKEOVER_STEP_MS: Millis = 250
-/** Largest number of steps that a reader waits, so that the last node of a large data centre is not much later. */
-const TAKEOVER_STEPS_MAX_COUNT = 4
+/** Readers of a data centre that follow each other in short steps; each further one waits a long step more. */
+const TAKEOVER_SHORT_STEPS_COUNT = 3
+/** The store may be unavailable for everyone, so a whole data centre must not read it at once. */
+const TAKEOVER_LONG_STEP_MS: Millis = 1_000
 
 /** Address and data centre of a node, which determine when it reads. */
 export interface ReaderLocation {
@@ -50,9 +52,10 @@
     isFirstReader = false
     if (dataCentre === own.dataCentre) earlierReadersCount += 1
   }
-  return isFirstReader
-    ? 0
-    : READ_PERIOD_MS + TAKEOVER_STEP_MS * Math.min(TAKEOVER_STEPS_MAX_COUNT, 1 + earlierReadersCount)
+  if (isFirstReader) return 0
+  const shortStepsCount = Math.min(TAKEOVER_SHORT_STEPS_COUNT, earlierReadersCount) + 1
+  const longStepsCount = Math.max(0, earlierReadersCount - TAKEOVER_SHORT_STEPS_COUNT)
+  return READ_PERIOD_MS + TAKEOVER_STEP_MS * shortStepsCount + TAKEOVER_LONG_STEP_MS * longStepsCount
 }
 
 /**
--- a/src/core/placement/placementDb.ts
+++ b/src/core/placement/placementDb.ts
@@ -30,7 +30,7 @@
       shedRatio: 0,
       warmUntilMs: -Infinity,
       isUnresponsive: false,
-      isLeaving: false
+      leavingUntilMs: -Infinity
     }
     db.views.set(server.serverId, view)
   }
--- a/src/core/placement/placementDefinition.spec.ts
+++ b/src/core/placement/placementDefinition.spec.ts
@@ -63,7 +63,7 @@
   test('draining, leaving and already tried servers are not chosen', () => {
     const db = createPlacement()
     const draining = { ...server('4'), state: ServerState.Draining }
-    placement.setLeaving(db, near, true)
+    placement.markLeaving(db, near, 0)
     expect(placement.chooseServer(db, { servers: [draining, near, far], triedServerIds: ['2'] }, 0, noRandom)).toBeUndefined()
   })
 
--- a/src/core/placement/placementDefinition.ts
+++ b/src/core/placement/placementDefinition.ts
@@ -17,6 +17,8 @@
 const FAILURES_TO_EJECT_COUNT = 3
 const EJECT_FIRST_MS: Millis = 200
 const EJECT_MAX_MS: Millis = 2_000
+/** Longest time for which a node counts as shutting down; the platform kills a process sooner. */
+const LEAVING_MAX_MS: Millis = 20_000
 /** Cost that ranks ejected servers behind all others; they are chosen only if no other server is left. */
 const EJECTED_COST = 100
 
@@ -39,7 +41,7 @@
   db: PlacementDb, request: PlacementRequest, nowMs: Millis
 ): ListedServer[] {
   return request.servers.filter(server => isReady(server) && !request.triedServerIds.includes(server.serverId) &&
-    !declinesWork(getOrCreateView(db, server), nowMs) && !getOrCreateView(db, server).isLeaving)
+    !declinesWork(getOrCreateView(db, server), nowMs) && !isMarkedLeaving(db, server, nowMs))
 }
 
 /** A random sample of at most `COMPARED_MAX_COUNT` candidates, most of them from this node's data centre. */
@@ -130,9 +132,18 @@
   getOrCreateView(db, server).isUnresponsive = isUnresponsive
 }
 
-/** Sets the mark of a server whose node shuts down, or clears it once the node has restarted. */
-function setLeaving (db: PlacementDb, server: ListedServer, isLeaving: boolean): void {
-  getOrCreateView(db, server).isLeaving = isLeaving
+/** Marks a server whose node shuts down. The mark ends by itself, in case the node's new process is not noticed. */
+function markLeaving (db: PlacementDb, server: ListedServer, nowMs: Millis): void {
+  getOrCreateView(db, server).leavingUntilMs = nowMs + LEAVING_MAX_MS
+}
+
+function isMarkedLeaving (db: PlacementDb, server: ListedServer, nowMs: Millis): boolean {
+  return nowMs < getOrCreateView(db, server).leavingUntilMs
+}
+
+/** Clears the mark of a server whose node has started again. */
+function clearLeaving (db: PlacementDb, server: ListedServer): void {
+  getOrCreateView(db, server).leavingUntilMs = -Infinity
 }
 
 /** Starts the warm-up of a server that has just started and is slower for a while. */
@@ -154,7 +165,9 @@
   recordLoadReport,
   recordOutcome,
   setUnresponsive,
-  setLeaving,
+  markLeaving,
+  isMarkedLeaving,
+  clearLeaving,
   markWarmingUp,
   removeServer,
   getOrCreateView
--- a/src/core/placement/placementTypes.ts
+++ b/src/core/placement/placementTypes.ts
@@ -49,6 +49,6 @@
   warmUntilMs: Millis
   /** Set while the server's node does not respond. */
   isUnresponsive: boolean
-  /** Set while the server's node shuts down. */
-  isLeaving: boolean
+  /** Until when the server's node counts as shutting down. */
+  leavingUntilMs: Millis
 }
--- a/src/mesh/callerDialect.ts
+++ b/src/mesh/callerDialect.ts
@@ -31,6 +31,15 @@
   HeadTooLarge = 'head_too_large'
 }
 
+/** Answers to requests that the caller server rejects, by the status code of the reason. */
+export const OWN_ANSWER_BY_STATUS = {
+  400: OwnAnswer.Malformed,
+  408: OwnAnswer.HeadTimeout,
+  413: OwnAnswer.BodyTooLarge,
+  431: OwnAnswer.HeadTooLarge,
+  503: OwnAnswer.NotRunRetryLater
+} as const
+
 /** Decodes requests of callers and encodes the node's own answers. */
 export interface CallerDialect {
   readRequest (head: MessageHead): CallerRequest
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -1,5 +1,6 @@
 import { Packr } from 'msgpackr'
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
+import type { SpreadId, TreeNumber } from '../core/spread/spreadTypes.js'
 import type { UnknownOutcomeReason, DispatchedCall, DispatchResult, RefusalReason, ResultReport } from './meshTypes.js'
 
 /** Kinds of messages between nodes. The numbers are part of the wire format. */
@@ -14,13 +15,22 @@
   Pong = 8,
   Resume = 9,
   NotReceived = 10,
-  Notice = 11
+  Notice = 11,
+  Spread = 12
 }
 
 /** Longest accepted frame. An answer of the greatest allowed size (64 MB) fits into it with its head. */
 const FRAME_MAX_BYTES = 80 * 1024 * 1024
 const LENGTH_BYTES = 4
 
+/** A notice on its way to all nodes. */
+export interface SpreadCopy extends SpreadId {
+  readonly tree: TreeNumber
+  /** Number of connections that the copy has travelled. */
+  readonly hopsCount: number
+  readonly text: string
+}
+
 /** Handshake message that each side sends first on a connection. */
 export interface Hello {
   /** Random id that is new at each start of a node's process. */
@@ -44,6 +54,7 @@
   | { readonly kind: FrameKind.Resume, readonly numbers: readonly number[] }
   | { readonly kind: FrameKind.NotReceived, readonly number: number }
   | { readonly kind: FrameKind.Notice, readonly text: string }
+  | { readonly kind: FrameKind.Spread, readonly copy: SpreadCopy }
 
 const packr = new Packr({ useRecords: false, moreTypes: false, encodeUndefinedAsNil: true })
 
@@ -104,6 +115,10 @@
       return [frame.kind]
     case FrameKind.Resume: return [frame.kind, frame.numbers]
     case FrameKind.Notice: return [frame.kind, frame.text]
+    case FrameKind.Spread: {
+      const { tree, origin, number, hopsCount, text } = frame.copy
+      return [frame.kind, tree, origin, number, hopsCount, text]
+    }
   }
 }
 
@@ -199,6 +214,10 @@
       return { kind }
     case FrameKind.Resume: return { kind, numbers: fields[1] as number[] }
     case FrameKind.Notice: return { kind, text: fields[1] as string }
+    case FrameKind.Spread: {
+      const [, tree, origin, number, hopsCount, text] = fields as [unknown, TreeNumber, string, number, number, string]
+      return { kind, copy: { tree, origin, number, hopsCount, text } }
+    }
     default: throw new RangeError(`unknown frame kind ${String(kind)}`)
   }
 }
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -10,7 +10,7 @@
 import { slotsDefinition } from '../core/slots/slotsDefinition.js'
 import { CallerServer } from '../http/callerServer.js'
 import { ExchangePool } from '../http/exchangePool.js'
-import { OwnAnswer } from './callerDialect.js'
+import { OWN_ANSWER_BY_STATUS } from './callerDialect.js'
 import { CrashGuard } from './crashGuard.js'
 import { EntryTask } from './entryTask.js'
 import { Executor } from './executor.js'
@@ -22,6 +22,7 @@
 import { PeerMesh } from './peerMesh.js'
 import { PeerServer } from './peerServer.js'
 import { PublishedStateTask } from './publishedStateTask.js'
+import { SpreadTask } from './spreadTask.js'
 import { createAdminServer } from './adminServer.js'
 
 /** Limits on callers' requests until the first configuration is in force. */
@@ -46,14 +47,6 @@
 /** Time at the end of the grace period for closing connections, before the process is killed. */
 const STOP_CLOSING_MARGIN_MS: Millis = 300
 
-const OWN_ANSWER_BY_STATUS = {
-  400: OwnAnswer.Malformed,
-  408: OwnAnswer.HeadTimeout,
-  413: OwnAnswer.BodyTooLarge,
-  431: OwnAnswer.HeadTooLarge,
-  503: OwnAnswer.NotRunRetryLater
-} as const
-
 /** The sidecar of one backend server: wires its tasks together and holds the state they share. */
 export class MeshNode {
   readonly #options: MeshNodeOptions
@@ -64,6 +57,7 @@
   readonly #slots = slotsDefinition.createDb(slotsDefinition.defaults)
   readonly #placement
   readonly #fleetRetryBudget
+  readonly #spreadTask: SpreadTask
   readonly #peerMesh: PeerMesh
   readonly #crashGuard: CrashGuard
   readonly #executor: Executor
@@ -91,6 +85,13 @@
       ownDataCentre: settings.dataCentre, ownIp: settings.ip, remotePenaltyRatio: REMOTE_PENALTY_RATIO
     })
     this.#fleetRetryBudget = fleetRetryBudgetDefinition.createDb(settings.fleetRetryBudget, clock.monotonicMs())
+    this.#spreadTask = new SpreadTask({
+      own: { ip: settings.ip, dataCentre: settings.dataCentre },
+      incarnation: this.#hello.incarnation,
+      peerMesh: () => this.#peerMesh,
+      peerServer: () => this.#peerServer,
+      onNotice: (text, fromIp, hopsCount) => this.#publishedState.receiveNotice(text, fromIp, hopsCount)
+    })
     this.#peerMesh = new PeerMesh({
       ownIp: settings.ip,
       peerPort: settings.peerListen.port,
@@ -100,13 +101,14 @@
       onUnresponsive: (ip, isUnresponsive) => this.#forEachServerAt(ip, server => {
         placementDefinition.setUnresponsive(this.#placement, server, isUnresponsive)
       }),
-      onNotice: (text, fromIp) => this.#publishedState.receiveNotice(text, fromIp),
-      onConnected: ip => this.#onPeerConnected(ip)
+      onNotice: (text, fromIp) => this.#publishedState.receiveNotice(text, fromIp, 1),
+      onSpreadCopy: (copy, fromIp) => this.#spreadTask.receive(copy, fromIp),
+      onConnected: (ip, isNewProcess) => this.#onPeerConnected(ip, isNewProcess)
     })
     this.#crashGuard = new CrashGuard({
       clock,
       log,
-      onCrash: fingerprints => this.#broadcastNotice(encodeNotice({ method: 'crash_suspects', fingerprints }))
+      onCrash: fingerprints => this.#spreadTask.publish(encodeNotice({ method: 'crash_suspects', fingerprints }))
     })
     this.#executor = new Executor({
       clock,
@@ -141,7 +143,8 @@
       hello: this.#hello,
       dispatch: (call, listener) => this.#executor.submit(call, listener),
       createReport: () => this.#executor.createReport(),
-      onNotice: (text, fromIp) => this.#publishedState.receiveNotice(text, fromIp),
+      onNotice: (text, fromIp) => this.#publishedState.receiveNotice(text, fromIp, 1),
+      onSpreadCopy: (copy, fromIp) => this.#spreadTask.receive(copy, fromIp),
       onPeerConnected: hello => {
         this.#peerMesh.connectWithoutDelay(hello.ip)
         this.#publishedState.announceTo(hello.ip)
@@ -173,15 +176,14 @@
       ownLocation: { ip: settings.ip, dataCentre: settings.dataCentre },
       configuration: this.#configuration,
       discovery: this.#discovery,
-      // There may be no outgoing link yet to a node that has just connected, so its incoming connection is preferred.
+      // There may be no outgoing link to a node that has connected, so its incoming connection is preferred.
       sendTo: (ip, text) => {
         if (!this.#peerServer.sendNotice(ip, text)) this.#peerMesh.sendNotice(ip, text)
       },
-      sendToAll: text => this.#broadcastNotice(text),
+      sendToAll: text => this.#spreadTask.publish(text),
       onListEvents: events => this.#applyListEvents(events),
-      onLeaving: ip => this.#forEachServerAt(
-        ip, server => placementDefinition.setLeaving(this.#placement, server, true)
-      ),
+      onLeaving: ip => this.#markLeaving(ip),
+      onStarted: ip => this.#clearLeaving(ip),
       onCrashSuspects: fingerprints => this.#crashGuard.recordCrash(fingerprints)
     })
   }
@@ -201,12 +203,6 @@
     })
   }
 
-  /** Sends a notice to all nodes; those without a listed backend server are reached over their incoming connections. */
-  #broadcastNotice (text: string): void {
-    this.#peerMesh.broadcastNotice(text)
-    this.#peerServer.broadcastNotice(text, ip => this.#peerMesh.hasOpenLink(ip))
-  }
-
   /** Starts a graceful stop, which lets open requests finish. */
   stop (): void {
     if (this.#isStopping) return
@@ -215,10 +211,8 @@
     this.#options.log.event('stopping', { open: this.#entryTask.openCount, running: this.#executor.openExecutions.size })
     this.#callerServer.markStopping()
     this.#executor.stopAccepting()
-    this.#broadcastNotice(encodeNotice({ method: 'leaving' }))
-    this.#forEachServerAt(this.#options.settings.ip, server => {
-      placementDefinition.setLeaving(this.#placement, server, true)
-    })
+    this.#spreadTask.publish(encodeNotice({ method: 'leaving', ip: this.#options.settings.ip }))
+    this.#markLeaving(this.#options.settings.ip)
   }
 
   #sweep (): void {
@@ -246,9 +240,12 @@
     onStopped()
   }
 
-  /** Whether the node is ready for requests: it has a configuration and a server list, and is not stopping. */
+  /**
+   * Whether the node is ready for requests: it has a configuration and a server list, and is not stopping. The first
+   * read may be seconds old, so the list must have been confirmed by a later read or by a peer.
+   */
   get isReady (): boolean {
-    return !this.#isStopping && this.#configuration.current !== null && this.#discovery.revision >= 0
+    return !this.#isStopping && this.#configuration.current !== null && this.#discovery.newestReadAtMs > -Infinity
   }
 
   /** Number of backend servers in this node's copy of the server list. */
@@ -281,7 +278,7 @@
       list_revision: () => this.#discovery.revision,
       list_age_ms: () => Math.round(clock.monotonicMs() - this.#discovery.newestReadAtMs),
       servers_listed: () => this.#discovery.servers.size,
-      peer_links: () => this.#peerMesh.linksCount,
+      peer_links: () => this.#peerMesh.openLinksCount,
       requests_open: () => this.#entryTask.openCount,
       caller_connections: () => this.#callerServer.connectionsCount,
       backend_running: () => this.#slots.runningCount,
@@ -326,12 +323,34 @@
     return this.#peerMesh.dispatch(server.ip, call, listener)
   }
 
-  /** Handles a handshake of another node. Its process may be new, so the leaving mark of the former one is cleared. */
-  #onPeerConnected (ip: string): void {
-    this.#forEachServerAt(ip, server => placementDefinition.setLeaving(this.#placement, server, false))
+  /**
+   * Handles a handshake on a link to another node. If that node's former process was stopping, all nodes are told
+   * that it accepts work again: its parents in the trees notice the new process first.
+   */
+  #onPeerConnected (ip: string, isNewProcess: boolean): void {
+    if (isNewProcess && this.#isMarkedLeaving(ip)) {
+      this.#clearLeaving(ip)
+      this.#spreadTask.publish(encodeNotice({ method: 'started', ip }))
+    }
     this.#publishedState.announceTo(ip)
   }
 
+  #isMarkedLeaving (ip: string): boolean {
+    const nowMs = this.#options.clock.monotonicMs()
+    return [...this.#discovery.servers.values()].some(server => {
+      return server.ip === ip && placementDefinition.isMarkedLeaving(this.#placement, server, nowMs)
+    })
+  }
+
+  #markLeaving (ip: string): void {
+    const nowMs = this.#options.clock.monotonicMs()
+    this.#forEachServerAt(ip, server => placementDefinition.markLeaving(this.#placement, server, nowMs))
+  }
+
+  #clearLeaving (ip: string): void {
+    this.#forEachServerAt(ip, server => placementDefinition.clearLeaving(this.#placement, server))
+  }
+
   #forEachServerAt (ip: string, apply: (server: ListedServer) => void): void {
     for (const server of this.#discovery.servers.values()) if (server.ip === ip) apply(server)
   }
@@ -353,7 +372,7 @@
     }
     this.#syncOwnServer(nowMs)
     fleetRetryBudgetDefinition.setNodesCount(this.#fleetRetryBudget, this.#discovery.servers.size)
-    this.#peerMesh.syncLinks(new Set([...this.#discovery.servers.values()].map(server => server.ip)))
+    this.#spreadTask.syncMembers(this.#discovery.servers.values())
   }
 
   /** Applies the list entry of this node's backend server. Without an entry it gets no calls. */
@@ -365,7 +384,7 @@
     if (isOwn) {
       slotsDefinition.setSlotsCount(this.#slots, server.slotsCount, nowMs)
       this.#executor.serverId = server.serverId
-      if (this.#isStopping) placementDefinition.setLeaving(this.#placement, server, true)
+      if (this.#isStopping) placementDefinition.markLeaving(this.#placement, server, nowMs)
     }
     if (acceptsWork === this.#slots.acceptsWork) return
     log.event('own_server', {
--- a/src/mesh/notices.ts
+++ b/src/mesh/notices.ts
@@ -16,8 +16,13 @@
     readonly configurationVersion: number
     readonly changes: readonly ListedChange[]
   }
-  /** Requests the full server list or the configuration, or both. */
-  | { readonly method: 'want', readonly list: boolean, readonly configuration: boolean }
+  /** Requests the changes of the server list after `afterRevision`, or the configuration, or both. */
+  | {
+    readonly method: 'want'
+    readonly list: boolean
+    readonly afterRevision: number
+    readonly configuration: boolean
+  }
   /** The full server list. */
   | {
     readonly method: 'snapshot'
@@ -27,8 +32,10 @@
   }
   /** The configuration in force, as stored. */
   | { readonly method: 'configuration', readonly text: string }
-  /** The sender's process is stopping. */
-  | { readonly method: 'leaving' }
+  /** The process of the node at this address is stopping. */
+  | { readonly method: 'leaving', readonly ip: string }
+  /** The process of the node at this address has started and accepts work. */
+  | { readonly method: 'started', readonly ip: string }
   /** These requests were running when a backend server crashed. */
   | { readonly method: 'crash_suspects', readonly fingerprints: readonly SuspectFingerprint[] }
 
@@ -81,11 +88,14 @@
     case 'published':
       return ['revision', 'afterRevision', 'ageMs', 'configurationVersion'].every(name => isNumber(params[name])) &&
         isListOf(params['changes'], isListedChange)
-    case 'want': return typeof params['list'] === 'boolean' && typeof params['configuration'] === 'boolean'
+    case 'want':
+      return typeof params['list'] === 'boolean' && typeof params['configuration'] === 'boolean' &&
+        isNumber(params['afterRevision'])
     case 'snapshot':
       return isNumber(params['revision']) && isNumber(params['ageMs']) && isListOf(params['servers'], isListedServer)
     case 'configuration': return typeof params['text'] === 'string'
-    case 'leaving': return true
+    case 'leaving':
+    case 'started': return typeof params['ip'] === 'string'
     case 'crash_suspects': return isListOf(params['fingerprints'], isFingerprint)
     default: return false
   }
@@ -95,7 +105,7 @@
  * Decodes and validates a notice of another node.
  *
  * @example
- * decodeNotice(encodeNotice({ method: 'leaving' })) // Right({ method: 'leaving' })
+ * decodeNotice(encodeNotice({ method: 'leaving', ip: '10.1.0.8' })) // Right({ method: 'leaving', ip: '10.1.0.8' })
  *
  * Errors: text that is not a JSON-RPC notification, an unknown method or invalid parameters.
  */
--- a/src/mesh/peerLink.spec.ts
+++ b/src/mesh/peerLink.spec.ts
@@ -45,6 +45,7 @@
   server!: PeerServer
   link!: PeerLink
   #serverPort = 0
+  #lastCallNumber = 0
   #checkTimer: NodeJS.Timeout | null = null
 
   async start (): Promise<void> {
@@ -58,7 +59,9 @@
       clock: systemClock,
       hello: { ...HELLO, incarnation: 'client-1' },
       onUnresponsive: isUnresponsive => this.unresponsiveChanges.push(isUnresponsive),
+      nextCallNumber: () => ++this.#lastCallNumber,
       onNotice: () => {},
+      onSpreadCopy: () => {},
       onConnected: () => {}
     })
     this.#checkTimer = setInterval(() => this.link.checkLiveness(), 50)
@@ -77,6 +80,7 @@
       },
       createReport: () => REPORT,
       onNotice: () => {},
+      onSpreadCopy: () => {},
       onPeerConnected: () => {}
     })
     this.#serverPort = await this.server.listen()
--- a/src/mesh/peerLink.ts
+++ b/src/mesh/peerLink.ts
@@ -1,6 +1,6 @@
 import { connect } from 'node:net'
 import type { Clock, Millis } from '../clock/clock.js'
-import { FrameKind, type Frame, type Hello } from './frames.js'
+import { FrameKind, type Frame, type Hello, type SpreadCopy } from './frames.js'
 import { FrameSocket } from './frameSocket.js'
 import { UnknownOutcomeReason, RefusalReason, type DispatchedCall, type DispatchHandle, type DispatchListener } from './meshTypes.js'
 
@@ -8,9 +8,18 @@
 const PING_AFTER_IDLE_MS: Millis = 250
 /** The peer counts as unresponsive if no frame arrives within this time after a ping. */
 const PING_TIMEOUT_MS: Millis = 250
+/** A permanent connection is checked after this time without a frame, since a peer rarely sends on it. */
+const PERMANENT_PING_AFTER_IDLE_MS: Millis = 700
 const CONNECT_TIMEOUT_MS: Millis = 500
-/** Delay before the next connect after a failed one. */
-const RECONNECT_DELAY_MS: Millis = 300
+/** A call that has waited this long for a connection is refused as not run, so that another server can be tried. */
+const UNSENT_WAIT_MAX_MS: Millis = 150
+/** Delay before the next connect after a failed one; it doubles up to the maximum. */
+const RECONNECT_DELAY_FIRST_MS: Millis = 300
+const RECONNECT_DELAY_MAX_MS: Millis = 1_200
+/** A connection without calls is closed after this time, unless it is permanent. */
+const IDLE_CLOSE_MS: Millis = 15_000
+/** Notices that wait for a connection; the newest ones are kept, since they replace older ones. */
+const WAITING_NOTICES_MAX_COUNT = 16
 
 /** A call without a result yet. */
 interface OpenCall {
@@ -24,17 +33,20 @@
   readonly port: number
   readonly clock: Clock
   readonly hello: Hello
+  /** Numbers of calls are unique in a process, so that those of a closed link are never used again. */
+  readonly nextCallNumber: () => number
   /** Called when the peer becomes unresponsive and when it responds again. */
   readonly onUnresponsive: (isUnresponsive: boolean) => void
   readonly onNotice: (text: string) => void
+  readonly onSpreadCopy: (copy: SpreadCopy) => void
   /** Called after the handshake on each new connection. */
-  readonly onConnected: () => void
+  readonly onConnected: (isNewProcess: boolean) => void
 }
 
 /**
- * Sends calls to one peer over one connection. When the connection is lost or the
- * peer becomes unresponsive, a new connection is opened and the open calls are
- * resumed on it: the peer names those that it never received, and they are sent again.
+ * Sends calls and notices to one peer over one connection, which is opened on first use. When the
+ * connection is lost or the peer becomes unresponsive, a new connection is opened and the open calls
+ * are resumed on it: the peer names those that it never received, and they are sent again.
  */
 export class PeerLink {
   readonly #options: PeerLinkOptions
@@ -43,8 +55,12 @@
   /** The connection that is being opened, until the peer's handshake arrives on it. */
   #connectingSocket: FrameSocket | null = null
   #connectTimer: NodeJS.Timeout | null = null
+  #connectStartedAtMs: Millis = 0
+  #failedConnectsCount = 0
+  #waitingNotices: Frame[] = []
+  #isPermanent = false
+  #lastUsedAtMs: Millis
   #peerIncarnation = ''
-  #lastNumber = 0
   #lastReceivedAtMs: Millis
   /** Since when there has been an open call without interruption; silence before that time is normal. */
   #busySinceMs: Millis = -Infinity
@@ -56,21 +72,34 @@
   constructor (options: PeerLinkOptions) {
     this.#options = options
     this.#lastReceivedAtMs = options.clock.monotonicMs()
+    this.#lastUsedAtMs = this.#lastReceivedAtMs
   }
 
   get isOpen (): boolean {
     return this.#socket !== null
   }
 
+  /** Whether the peer did not answer or could not be connected to. */
+  get isUnresponsive (): boolean {
+    return this.#isUnresponsive
+  }
+
+  /** Keeps the connection open without calls, or no longer. */
+  setPermanent (isPermanent: boolean): void {
+    this.#isPermanent = isPermanent
+    if (isPermanent && this.#socket === null) this.connect()
+  }
+
   get outstandingCount (): number {
     return this.#calls.size
   }
 
   /** Sends a call to the peer. The listener gets its result, unless the call is cancelled before. */
   dispatch (call: DispatchedCall, listener: DispatchListener): DispatchHandle {
-    const number = ++this.#lastNumber
+    const number = this.#options.nextCallNumber()
+    this.#lastUsedAtMs = this.#options.clock.monotonicMs()
     const openCall: OpenCall = { call, listener, isSent: false }
-    if (this.#calls.size === 0) this.#busySinceMs = this.#options.clock.monotonicMs()
+    if (this.#calls.size === 0) this.#busySinceMs = this.#lastUsedAtMs
     this.#calls.set(number, openCall)
     if (this.#socket !== null) this.#sendCall(number, openCall)
     else this.connect()
@@ -78,12 +107,29 @@
   }
 
   sendNotice (text: string): void {
-    this.#socket?.send({ kind: FrameKind.Notice, text })
+    this.#sendOrKeep({ kind: FrameKind.Notice, text })
+  }
+
+  sendSpreadCopy (copy: SpreadCopy): void {
+    this.#sendOrKeep({ kind: FrameKind.Spread, copy })
+  }
+
+  /** Sends a frame, or keeps it until the connection is open. */
+  #sendOrKeep (frame: Frame): void {
+    this.#lastUsedAtMs = this.#options.clock.monotonicMs()
+    if (this.#socket !== null) {
+      this.#socket.send(frame)
+      return
+    }
+    this.#waitingNotices.push(frame)
+    if (this.#waitingNotices.length > WAITING_NOTICES_MAX_COUNT) this.#waitingNotices.shift()
+    this.connect()
   }
 
   /** Skips the reconnect delay, because the peer has connected to this node and so is up. */
   connectWithoutDelay (): void {
-    if (this.#reconnectTimer !== null) clearTimeout(this.#reconnectTimer)
+    if (this.#reconnectTimer === null) return
+    clearTimeout(this.#reconnectTimer)
     this.#reconnectTimer = null
     if (this.#socket === null) this.connect()
   }
@@ -95,6 +141,7 @@
     const socket = connect({ host: ip, port, noDelay: true })
     const next: FrameSocket = new FrameSocket(socket, frame => this.#onFrame(next, frame), () => this.#onClosed(next))
     this.#connectingSocket = next
+    this.#connectStartedAtMs = this.#options.clock.monotonicMs()
     this.#connectTimer = setTimeout(() => next.destroy(), CONNECT_TIMEOUT_MS)
     socket.once('connect', () => next.send({ kind: FrameKind.Hello, hello: this.#options.hello }))
   }
@@ -138,6 +185,7 @@
         return
       }
       case FrameKind.Notice: return this.#options.onNotice(frame.text)
+      case FrameKind.Spread: return this.#options.onSpreadCopy(frame.copy)
       case FrameKind.Ping: return from.send({ kind: FrameKind.Pong })
       case FrameKind.Pong:
       case FrameKind.Call:
@@ -162,38 +210,53 @@
     this.#connectingSocket = null
     this.#socket = from
     previous?.destroy()
-    if (this.#peerIncarnation !== '' && this.#peerIncarnation !== hello.incarnation) this.#failSent()
+    const isNewProcess = this.#peerIncarnation !== '' && this.#peerIncarnation !== hello.incarnation
+    if (isNewProcess) this.#failSent()
     this.#peerIncarnation = hello.incarnation
+    this.#failedConnectsCount = 0
     const sentNumbers = [...this.#calls].filter(([, openCall]) => openCall.isSent).map(([number]) => number)
     if (sentNumbers.length > 0) from.send({ kind: FrameKind.Resume, numbers: sentNumbers })
     for (const [number, openCall] of this.#calls) if (!openCall.isSent) this.#sendCall(number, openCall)
-    this.#options.onConnected()
+    for (const notice of this.#waitingNotices.splice(0)) from.send(notice)
+    this.#options.onConnected(isNewProcess)
   }
 
   #onClosed (socket: FrameSocket): void {
     if (socket === this.#socket) {
       this.#socket = null
-      this.connect()
+      if (this.#isPermanent || this.#calls.size > 0) this.connect()
       return
     }
     if (socket !== this.#connectingSocket) return
     this.#connectingSocket = null
     if (this.#connectTimer !== null) clearTimeout(this.#connectTimer)
     if (this.#isClosed) return
+    this.#waitingNotices = []
     this.#failUnsent()
     // There is no connection on which open calls could be answered.
     if (this.#socket === null) this.#markUnresponsive()
+    const delayMs = Math.min(RECONNECT_DELAY_MAX_MS, RECONNECT_DELAY_FIRST_MS * 2 ** this.#failedConnectsCount)
+    this.#failedConnectsCount += 1
     this.#reconnectTimer = setTimeout(() => {
       this.#reconnectTimer = null
       this.connect()
-    }, RECONNECT_DELAY_MS)
+    }, delayMs)
   }
 
-  /** Detects an unresponsive peer while calls are open. To be called several times a second. */
+  /** Detects an unresponsive peer, and closes an unused connection. To be called several times a second. */
   checkLiveness (): void {
     const nowMs = this.#options.clock.monotonicMs()
-    if (this.#calls.size === 0 || this.#socket === null) return
-    if (nowMs - Math.max(this.#lastReceivedAtMs, this.#busySinceMs) < PING_AFTER_IDLE_MS) return
+    if (this.#socket === null) {
+      this.#refuseLongUnsent(nowMs)
+      return
+    }
+    const isIdle = this.#calls.size === 0
+    if (isIdle && !this.#isPermanent) {
+      if (nowMs - this.#lastUsedAtMs >= IDLE_CLOSE_MS) this.#closeIdleSocket()
+      return
+    }
+    const pingAfterMs = isIdle ? PERMANENT_PING_AFTER_IDLE_MS : PING_AFTER_IDLE_MS
+    if (nowMs - Math.max(this.#lastReceivedAtMs, isIdle ? -Infinity : this.#busySinceMs) < pingAfterMs) return
     if (this.#unansweredPingAtMs === -Infinity) {
       this.#unansweredPingAtMs = nowMs
       this.#socket.send({ kind: FrameKind.Ping })
@@ -203,6 +266,19 @@
     }
   }
 
+  /** Refuses calls of which no byte was sent while the connection takes too long to open. */
+  #refuseLongUnsent (nowMs: Millis): void {
+    if (this.#calls.size === 0 || nowMs - this.#connectStartedAtMs < UNSENT_WAIT_MAX_MS) return
+    this.#failUnsent()
+    this.#markUnresponsive()
+  }
+
+  #closeIdleSocket (): void {
+    const socket = this.#socket
+    this.#socket = null
+    socket?.destroy()
+  }
+
   #markUnresponsive (): void {
     if (!this.#isUnresponsive) {
       this.#isUnresponsive = true
--- a/src/mesh/peerMesh.ts
+++ b/src/mesh/peerMesh.ts
@@ -1,12 +1,9 @@
 import type { Clock } from '../clock/clock.js'
-import type { Hello } from './frames.js'
+import type { Hello, SpreadCopy } from './frames.js'
 import type { DispatchedCall, DispatchHandle, DispatchListener } from './meshTypes.js'
 import type { NodeLog } from './nodeLog.js'
 import { PeerLink } from './peerLink.js'
 
-/** Limit on links to other nodes, all of which get each broadcast. Larger fleets need a tree; see docs/CAPACITY.md. */
-const PEER_LINKS_MAX_COUNT = 512
-
 export interface PeerMeshOptions {
   readonly ownIp: string
   readonly peerPort: number
@@ -15,26 +12,31 @@
   readonly hello: Hello
   readonly onUnresponsive: (ip: string, isUnresponsive: boolean) => void
   readonly onNotice: (text: string, fromIp: string) => void
-  /** Called after each handshake with a node, whose process may be a new one. */
-  readonly onConnected: (ip: string) => void
+  readonly onSpreadCopy: (copy: SpreadCopy, fromIp: string) => void
+  /** Called after each handshake with a node; its process may have replaced the one of the former handshake. */
+  readonly onConnected: (ip: string, isNewProcess: boolean) => void
 }
 
-/** The links from this node to all other nodes. */
+/** The links from this node to the nodes that it sends calls or notices to. */
 export class PeerMesh {
   readonly #options: PeerMeshOptions
   readonly #links = new Map<string, PeerLink>()
+  #lastCallNumber = 0
 
   constructor (options: PeerMeshOptions) {
     this.#options = options
   }
 
-  get linksCount (): number {
-    return this.#links.size
+  /** Number of open connections. */
+  get openLinksCount (): number {
+    let count = 0
+    for (const link of this.#links.values()) if (link.isOpen) count += 1
+    return count
   }
 
-  /** Whether a broadcast reaches the node. */
-  hasOpenLink (ip: string): boolean {
-    return this.#links.get(ip)?.isOpen === true
+  /** Whether the node can be expected to answer: it did when it was last used, or was never used. */
+  isUsable (ip: string): boolean {
+    return this.#links.get(ip)?.isUnresponsive !== true
   }
 
   /** Checks all links for unresponsive peers. */
@@ -46,14 +48,12 @@
     return this.#getOrCreateLink(ip).dispatch(call, listener)
   }
 
-  /** Opens links to the given nodes and closes those to other nodes that have no open call. */
-  syncLinks (ips: ReadonlySet<string>): void {
-    for (const ip of ips) {
-      if (ip === this.#options.ownIp || this.#links.has(ip)) continue
-      if (this.#links.size < PEER_LINKS_MAX_COUNT) this.#getOrCreateLink(ip).connect()
-    }
+  /** Keeps links to the neighbours open, and closes those to nodes that are not listed and have no open call. */
+  syncLinks (listedIps: ReadonlySet<string>, neighbourIps: ReadonlySet<string>): void {
+    for (const ip of neighbourIps) if (ip !== this.#options.ownIp) this.#getOrCreateLink(ip)
     for (const [ip, link] of this.#links) {
-      if (ips.has(ip) || link.outstandingCount > 0) continue
+      link.setPermanent(neighbourIps.has(ip))
+      if (listedIps.has(ip) || neighbourIps.has(ip) || link.outstandingCount > 0) continue
       this.#links.delete(ip)
       link.close()
     }
@@ -64,12 +64,15 @@
     this.#links.get(ip)?.connectWithoutDelay()
   }
 
-  sendNotice (ip: string, text: string): void {
-    this.#links.get(ip)?.sendNotice(text)
+  /** Sends a notice over an existing link; returns false if there is none. */
+  sendNotice (ip: string, text: string): boolean {
+    const link = this.#links.get(ip)
+    link?.sendNotice(text)
+    return link !== undefined
   }
 
-  broadcastNotice (text: string): void {
-    for (const link of this.#links.values()) link.sendNotice(text)
+  sendSpreadCopy (ip: string, copy: SpreadCopy): void {
+    this.#getOrCreateLink(ip).sendSpreadCopy(copy)
   }
 
   close (): void {
@@ -84,12 +87,14 @@
       port: this.#options.peerPort,
       clock: this.#options.clock,
       hello: this.#options.hello,
+      nextCallNumber: () => ++this.#lastCallNumber,
       onUnresponsive: isUnresponsive => {
         this.#options.log.event(isUnresponsive ? 'peer_lost' : 'peer_regained', { peer: ip })
         this.#options.onUnresponsive(ip, isUnresponsive)
       },
       onNotice: text => this.#options.onNotice(text, ip),
-      onConnected: () => this.#options.onConnected(ip)
+      onSpreadCopy: copy => this.#options.onSpreadCopy(copy, ip),
+      onConnected: isNewProcess => this.#options.onConnected(ip, isNewProcess)
     })
     this.#links.set(ip, link)
     return link
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import type { Clock, Millis } from '../clock/clock.js'
-import { FrameKind, type Frame, type Hello } from './frames.js'
+import { FrameKind, type Frame, type Hello, type SpreadCopy } from './frames.js'
 import { FrameSocket } from './frameSocket.js'
 import {
   UnknownOutcomeReason, type DispatchedCall, type DispatchHandle, type DispatchListener, type DispatchResult,
@@ -48,6 +48,7 @@
   readonly dispatch: (call: DispatchedCall, listener: DispatchListener) => DispatchHandle
   readonly createReport: () => ResultReport
   readonly onNotice: (text: string, fromIp: string) => void
+  readonly onSpreadCopy: (copy: SpreadCopy, fromIp: string) => void
   /** Called after the handshake of another node's process. */
   readonly onPeerConnected: (hello: Hello) => void
 }
@@ -84,8 +85,8 @@
     return count
   }
 
-  /** Sends a notice to all connected nodes, except those for which `isReachedOtherwise` returns true. */
-  broadcastNotice (text: string, isReachedOtherwise: (ip: string) => boolean = () => false): void {
+  /** Sends a notice to connected nodes that are not reached along the trees. */
+  sendToUnreached (text: string, isReachedOtherwise: (ip: string) => boolean): void {
     for (const { hello, socket } of this.#sessions.values()) {
       if (!isReachedOtherwise(hello.ip)) socket?.send({ kind: FrameKind.Notice, text })
     }
@@ -151,6 +152,7 @@
       case FrameKind.Resume: return this.#onResume(session, frame.numbers)
       case FrameKind.Ping: return session.socket?.send({ kind: FrameKind.Pong })
       case FrameKind.Notice: return this.#options.onNotice(frame.text, session.hello.ip)
+      case FrameKind.Spread: return this.#options.onSpreadCopy(frame.copy, session.hello.ip)
       case FrameKind.Hello:
       case FrameKind.Answered:
       case FrameKind.NotRun:
--- a/src/mesh/platformStore.ts
+++ b/src/mesh/platformStore.ts
@@ -51,7 +51,11 @@
 
 /** Read-only access to the platform's key-value store. */
 export interface PlatformStore {
-  readAll (timeoutMs: Millis): Promise<Either<StoreFailure, PublishedState>>
+  /**
+   * Reads everything. A read that `mayBeStale` is charged much less, but its result may be some seconds old; it is
+   * complete as of its revision.
+   */
+  readAll (timeoutMs: Millis, mayBeStale: boolean): Promise<Either<StoreFailure, PublishedState>>
   /** Reads the changes after a revision; the store waits up to `waitMs` for the first one (long poll). */
   readChanges (
     afterRevision: number, waitMs: Millis, timeoutMs: Millis
--- a/src/mesh/publishedStateTask.ts
+++ b/src/mesh/publishedStateTask.ts
@@ -6,7 +6,7 @@
 import type { RandomSource } from '../core/coreTypes.js'
 import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
 import { discoveryDefinition } from '../core/discovery/discoveryDefinition.js'
-import type { ListedChange, ListEvent } from '../core/discovery/discoveryTypes.js'
+import type { ListEvent } from '../core/discovery/discoveryTypes.js'
 import { readAfterMs, watchWaitMs, type ReaderLocation } from '../core/discovery/readSchedule.js'
 import type { Fingerprint } from '../core/retry/retryTypes.js'
 import type { NodeLog } from './nodeLog.js'
@@ -29,6 +29,7 @@
   readonly sendToAll: (text: string) => void
   readonly onListEvents: (events: readonly ListEvent[]) => void
   readonly onLeaving: (ip: string) => void
+  readonly onStarted: (ip: string) => void
   readonly onCrashSuspects: (fingerprints: readonly Fingerprint[]) => void
 }
 
@@ -73,6 +74,7 @@
       },
       onConfiguration: (text, fromIp) => this.#applyPeerConfiguration(text, fromIp),
       onLeaving: options.onLeaving,
+      onStarted: options.onStarted,
       onCrashSuspects: fingerprints => options.onCrashSuspects(fingerprints)
     })
   }
@@ -85,9 +87,9 @@
     this.#storeTask.stop()
   }
 
-  /** Handles a notice of another node. */
-  receiveNotice (text: string, fromIp: string): void {
-    this.#peerSync.receiveNotice(text, fromIp)
+  /** Handles a notice of another node that arrived over `hopsCount` connections. */
+  receiveNotice (text: string, fromIp: string, hopsCount: number): void {
+    this.#peerSync.receiveNotice(text, fromIp, hopsCount)
   }
 
   /** Tells a node that has just connected which revision and configuration version this node has. */
@@ -105,6 +107,7 @@
 
   /** Recomputes the list age at which this node reads the store, and reports the changes, if there are any. */
   #onListUpdated (events: readonly ListEvent[]): void {
+    this.#peerSync.answerWaitingPeers()
     if (events.length === 0) return
     this.#readAfterMs = readAfterMs(this.#options.ownLocation, this.#options.discovery.servers.values())
     this.#options.onListEvents(events)
@@ -118,7 +121,8 @@
     const refusedServerIds = state.refused.map(({ serverId }) => serverId)
     const events = discoveryDefinition.applySnapshot(discovery, state, readAtMs, refusedServerIds)
     this.#onListUpdated(events)
-    this.#broadcastUpdate(isNewConfiguration, events, afterRevision, readAtMs)
+    // What may be stale is of no use to other nodes, which may all have started at the same time.
+    if (readAtMs > -Infinity) this.#broadcastUpdate(isNewConfiguration, events, afterRevision, readAtMs)
   }
 
   #applyChanges (changes: PublishedChanges, readAtMs: Millis): void {
@@ -135,7 +139,7 @@
     hasNewConfiguration: boolean, events: readonly ListEvent[], afterRevision: number, readAtMs: Millis
   ): void {
     if (hasNewConfiguration) this.#peerSync.broadcastConfiguration()
-    this.#peerSync.broadcastChanges(events.map(toListedChange), afterRevision, readAtMs)
+    this.#peerSync.broadcastChanges(events.map(discoveryDefinition.toListedChange), afterRevision, readAtMs)
   }
 
   #applyPeerConfiguration (text: string, fromIp: string): void {
@@ -174,9 +178,3 @@
     }
   }
 }
-
-function toListedChange (event: ListEvent): ListedChange {
-  return event.kind === 'left'
-    ? { kind: 'removed', serverId: event.server.serverId, revision: event.revision }
-    : { kind: 'written', server: event.server }
-}
--- a/src/mesh/storeTask.spec.ts
+++ b/src/mesh/storeTask.spec.ts
@@ -73,6 +73,7 @@
 
   test('while nothing changes only one node reads, since its reads keep the list of the others fresh', async () => {
     let freshAtMs = -Infinity
+    let revision = -1
     const readsCounts = [0, 0, 0]
     const tasks = [0, 750, 1_000].map((readAfterMs, reader) => new StoreTask({
       clock: systemClock,
@@ -90,8 +91,11 @@
       newestReadAtMs: () => freshAtMs,
       readAfterMs: () => readAfterMs,
       watchWaitMs: () => watchWaitMs(systemClock.monotonicMs() - freshAtMs, 3),
-      revision: () => freshAtMs === -Infinity ? -1 : 5,
-      onState: (_state, readAtMs) => { freshAtMs = Math.max(freshAtMs, readAtMs) },
+      revision: () => revision,
+      onState: (state, readAtMs) => {
+        revision = state.revision
+        freshAtMs = Math.max(freshAtMs, readAtMs)
+      },
       onChanges: (_changes, readAtMs) => { freshAtMs = Math.max(freshAtMs, readAtMs) }
     }))
     for (const task of tasks) task.start()
--- a/src/mesh/storeTask.ts
+++ b/src/mesh/storeTask.ts
@@ -9,7 +9,7 @@
 /** The store usually answers in a few ms; the timeout leaves room for a slow one. */
 const READ_TIMEOUT_MS: Millis = 1_000
 const RETRY_DELAY_FIRST_MS: Millis = 100
-const RETRY_DELAY_MAX_MS: Millis = 500
+const RETRY_DELAY_MAX_MS: Millis = 1_000
 
 export interface StoreTaskOptions {
   readonly clock: Clock
@@ -24,6 +24,7 @@
   readonly watchWaitMs: () => Millis
   /** Revision of the known list, or negative if none is known. */
   readonly revision: () => number
+  /** `readAtMs` is negative infinity for a read that may be stale. */
   readonly onState: (state: PublishedState, readAtMs: Millis) => void
   readonly onChanges: (changes: PublishedChanges, readAtMs: Millis) => void
 }
@@ -32,6 +33,8 @@
 export class StoreTask {
   readonly #options: StoreTaskOptions
   #needsFullRead = true
+  /** Whether the list is from a read that may be stale, so that other nodes are expected to have a newer one. */
+  #isStale = false
   #lastReadAtMs: Millis = -Infinity
   #failuresCount = 0
   #isStoreLost = false
@@ -69,22 +72,30 @@
     }
   }
 
-  /** Time until the next read. A node without any list reads at once. */
+  /**
+   * Time until the next read. A node without any list reads at once. After a stale read, a node waits for updates
+   * as long as it would before it takes over from the reader.
+   */
   #untilNextReadMs (): Millis {
     const { clock, newestReadAtMs, readAfterMs } = this.#options
     const nowMs = clock.monotonicMs()
     if (this.#options.revision() < 0) return 0
-    return Math.max(newestReadAtMs() + readAfterMs() - nowMs, this.#lastReadAtMs + READ_PERIOD_MS - nowMs)
+    const pauseMs = this.#isStale ? readAfterMs() : READ_PERIOD_MS
+    return Math.max(newestReadAtMs() + readAfterMs() - nowMs, this.#lastReadAtMs + pauseMs - nowMs)
   }
 
+  /** Reads everything. The first read may be stale: all nodes of a fleet may start at once, and reads are charged. */
   async #readAll (): Promise<StoreFailure | null> {
-    const startedAtMs = this.#options.clock.monotonicMs()
-    const result = await this.#options.store.readAll(READ_TIMEOUT_MS)
+    const { clock, onState, revision, store } = this.#options
+    const startedAtMs = clock.monotonicMs()
+    const mayBeStale = revision() < 0
+    const result = await store.readAll(READ_TIMEOUT_MS, mayBeStale)
     return result.caseOf<StoreFailure | null>({
       Left: failure => failure,
       Right: state => {
         this.#needsFullRead = false
-        this.#options.onState(state, startedAtMs)
+        this.#isStale = mayBeStale
+        onState(state, mayBeStale ? -Infinity : startedAtMs)
         return null
       }
     })
@@ -100,6 +111,7 @@
       Right: changes => {
         // The answer has all changes until it was sent, at the end of the wait at the latest. A process that was
         // paused reads the answer later, so the time of reading would make the list look too fresh.
+        this.#isStale = false
         this.#options.onChanges(changes, Math.min(clock.monotonicMs(), startedAtMs + waitMs))
         return null
       }
@@ -108,8 +120,8 @@
 
   #onReadFailed (failure: StoreFailure): void {
     this.#failuresCount += 1
-    // The failed read may have lost changes in transit, so the next one is a full read.
-    this.#needsFullRead = true
+    // After a lost answer the next read asks for the changes after the same revision again.
+    this.#needsFullRead ||= failure.kind === StoreFailureKind.HistoryGone || failure.kind === StoreFailureKind.Malformed
     if (this.#isStoreLost) return
     this.#isStoreLost = true
     this.#options.log.event('store_lost', { kind: failure.kind, detail: failure.detail })
