--- a/src/mesh/backendDialect.ts
+++ b/src/mesh/backendDialect.ts
@@ -16,6 +16,9 @@
   readonly isEncoded: boolean
   /** Id of the backend server's current incarnation, or empty. */
   readonly serverId: string
+  /** Requests a second that the backend server takes from all nodes together, or null when it names no limit. */
+  readonly limitPerS: number | null
+  readonly isLeaving: boolean
   /** Header lines to forward to the caller. */
   readonly headerText: string
 }
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -2,11 +2,14 @@
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
 import type { FleetRetryBudgetDb } from '../core/fleetRetryBudget/fleetRetryBudgetDb.js'
 import { fleetRetryBudgetDefinition } from '../core/fleetRetryBudget/fleetRetryBudgetDefinition.js'
+import type { RateLimitDb } from '../core/rateLimit/rateLimitDb.js'
+import { rateLimitDefinition } from '../core/rateLimit/rateLimitDefinition.js'
+import { LimitChange } from '../core/rateLimit/rateLimitTypes.js'
 import type { SlotsDb } from '../core/slots/slotsDb.js'
 import { slotsDefinition } from '../core/slots/slotsDefinition.js'
 import type { SlotRefusal, WaitingCall } from '../core/slots/slotsTypes.js'
 import type { Exchange, ExchangePool, ExchangeResult } from '../http/exchangePool.js'
-import type { BackendDialect } from './backendDialect.js'
+import type { BackendAnswer, BackendDialect } from './backendDialect.js'
 import {
   UnknownOutcomeReason, RefusalReason, type DispatchedCall, type DispatchHandle, type DispatchListener,
   type DispatchResult, type ResultReport
@@ -19,6 +22,8 @@
 const REMAINING_MIN_MS: Millis = 2
 /** Least time between two connects that check for a crash, since the processor time of each one is billed. */
 const CRASH_PROBE_INTERVAL_MS: Millis = 100
+/** Interval between two log lines on the requests sent under a limit. */
+const LIMIT_LOG_INTERVAL_MS: Millis = 1_000
 
 export interface ExecutorOptions {
   readonly clock: Clock
@@ -26,6 +31,7 @@
   readonly pool: ExchangePool
   readonly dialect: BackendDialect
   readonly slots: SlotsDb
+  readonly rateLimit: RateLimitDb
   readonly fleetRetryBudget: FleetRetryBudgetDb
   readonly crashGuard: CrashGuard
   readonly log: NodeLog
@@ -78,7 +84,7 @@
 
   /** Writes the request. The deadline is checked here, since the process may have been paused before. */
   #start (): void {
-    const { clock, dialect, fleetRetryBudget, pool } = this.#executor.options
+    const { clock, dialect, fleetRetryBudget, pool, rateLimit } = this.#executor.options
     this.#stage = 'running'
     this.#startedAtMs = clock.monotonicMs()
     this.#executor.runningById.set(this.call.requestId, this)
@@ -88,6 +94,7 @@
       return
     }
     fleetRetryBudgetDefinition.recordArrival(fleetRetryBudget, this.call.traceContext.isRetry, this.#startedAtMs)
+    rateLimitDefinition.recordSend(rateLimit, this.call.traceContext.isRetry, this.#startedAtMs)
     this.#exchange = pool.send({
       bytes: dialect.encodeRequest(this.call, remainingMs, this.#executor.serverId),
       isHead: this.call.method === 'HEAD',
@@ -160,6 +167,8 @@
   #submitted: Execution[] = []
   #isStopping = false
   #lastProbeAtMs: Millis = -Infinity
+  #lastLimitLogAtMs: Millis = -Infinity
+  #isServerLeaving = false
 
   constructor (options: ExecutorOptions) {
     this.options = options
@@ -242,6 +251,40 @@
   sweep (): void {
     slotsDefinition.refuseExpiredCalls(this.options.slots, this.options.clock.monotonicMs())
     this.options.pool.closeStaleConnections()
+    this.#logSendsUnderLimit()
+  }
+
+  #logSendsUnderLimit (): void {
+    const { clock, log, rateLimit } = this.options
+    const nowMs = clock.monotonicMs()
+    if (rateLimit.limitPerS === null || nowMs - this.#lastLimitLogAtMs < LIMIT_LOG_INTERVAL_MS) return
+    this.#lastLimitLogAtMs = nowMs
+    const report = rateLimitDefinition.getReport(rateLimit, nowMs)!
+    log.event('sends_under_limit', {
+      server: this.serverId,
+      limit_per_s: report.limitPerS,
+      sent: report.sentCount,
+      repeated: report.repeatedCount,
+      window_ms: report.windowMs
+    })
+  }
+
+  /** Takes note of the limit that the backend server names, and of its leaving. */
+  #recordSignals (answer: BackendAnswer): void {
+    const { log, rateLimit } = this.options
+    const before = rateLimit.limitPerS
+    const change = rateLimitDefinition.recordAnswer(rateLimit, answer.limitPerS)
+    switch (change) {
+      case LimitChange.Named:
+      case LimitChange.Lifted:
+        log.event('server_limit', { change, server: this.serverId, limit_per_s: answer.limitPerS ?? 'none', before: before ?? 'none' })
+        break
+      case LimitChange.Changed:
+      case LimitChange.None:
+    }
+    if (answer.isLeaving === this.#isServerLeaving) return
+    this.#isServerLeaving = answer.isLeaving
+    log.event('server_leaving', { server: this.serverId, is_leaving: answer.isLeaving })
   }
 
   toDispatchResult (result: ExchangeResult): DispatchResult {
@@ -257,6 +300,7 @@
           slotsDefinition.setSlotsCount(this.options.slots, answer.slotsCount, this.options.clock.monotonicMs())
         }
         if (answer.serverId !== '' && answer.serverId !== this.serverId) this.#setServerId(answer.serverId)
+        this.#recordSignals(answer)
         if (answer.notExecuted) return { kind: 'not_run', reason: RefusalReason.BackendShed, reachedBackend: true }
         const isSuccess = result.head.statusCode < 300
         if (answer.isEncoded || (isSuccess && !answer.isSigned)) {
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -7,6 +7,7 @@
 import { ServerState, type ListedServer, type ListEvent } from '../core/discovery/discoveryTypes.js'
 import { placementDefinition } from '../core/placement/placementDefinition.js'
 import { fleetRetryBudgetDefinition } from '../core/fleetRetryBudget/fleetRetryBudgetDefinition.js'
+import { rateLimitDefinition } from '../core/rateLimit/rateLimitDefinition.js'
 import { slotsDefinition } from '../core/slots/slotsDefinition.js'
 import { CallerServer } from '../http/callerServer.js'
 import { ExchangePool } from '../http/exchangePool.js'
@@ -55,6 +56,7 @@
   readonly #discovery = discoveryDefinition.createDb()
   readonly #chainAdmission = chainAdmissionDefinition.createDb(chainAdmissionDefinition.defaults)
   readonly #slots = slotsDefinition.createDb(slotsDefinition.defaults)
+  readonly #rateLimit = rateLimitDefinition.createDb()
   readonly #placement
   readonly #fleetRetryBudget
   readonly #spreadTask: SpreadTask
@@ -116,6 +118,7 @@
       pool: this.#createBackendPool(),
       dialect: options.backendDialect,
       slots: this.#slots,
+      rateLimit: this.#rateLimit,
       fleetRetryBudget: this.#fleetRetryBudget,
       crashGuard: this.#crashGuard,
       log,
@@ -283,6 +286,7 @@
       caller_connections: () => this.#callerServer.connectionsCount,
       backend_running: () => this.#slots.runningCount,
       backend_queued: () => this.#slots.queue.length,
+      backend_rate_limit_per_s: () => this.#rateLimit.limitPerS ?? NaN,
       backend_slots_used_limit: () => this.#executor.createReport().load.limitCount,
       resident_bytes: () => process.memoryUsage.rss()
     }
