Keep the rate of each backend server within the limit that it names

Cause: the limit is in the answers and nobody used it. Requests were divided by slots and running calls only, so a server that works half as fast got the same share as before (sends_under_limit: 147 in the 4 s when it named its limit, 169 three seconds later, no retries among them). Change: the node beside the server starts calls at the named rate (token bucket, a quarter of a second of burst). All requests to the server pass through it, so the sum over all nodes holds without a coordinator and without shares. Calls wait for their turn in a short queue; the others are refused as server_limit and tried on another server. Results carry the limit, the time until the next start and the number of calls that the rate keeps running, by which entry nodes compare servers. If no server is left, the request is refused with Retry-After, and the service counts as saturated in the admission of root requests. A process that has just started knows no limit, and its server would get a burst until the first answer. So entry nodes send the limit that they know with each call, and a process without an answer of its own adopts it, with no tokens. A limit is lifted only by the answer to a request that was sent after the limit was named.

--- a/src/core/placement/placementDefinition.spec.ts
+++ b/src/core/placement/placementDefinition.spec.ts
@@ -67,6 +67,31 @@
     expect(placement.chooseServer(db, { servers: [draining, near, far], triedServerIds: ['2'] }, 0, noRandom)).toBeUndefined()
   })
 
+  test('a server whose rate limit allows no call yet is chosen only if no other server is left', () => {
+    const db = createPlacement()
+    const limited = {
+      kind: 'limited' as const, serverId: '1', startedAtWallMs: 0, limitPerS: 5, startDelayMs: 200
+    }
+    placement.recordSignals(db, near, limited, 0)
+    reportLoad(db, far, 9)
+    expect(placement.chooseServer(db, { servers: [near, far], triedServerIds: [] }, 100, noRandom)).toBe(far)
+    expect(placement.chooseServer(db, { servers: [near], triedServerIds: [] }, 100, noRandom)).toBe(near)
+    expect(placement.chooseServer(db, { servers: [near, far], triedServerIds: [] }, 200, noRandom)).toBe(near)
+  })
+
+  test('remembers the limit of a server while its entry is missing or its node does not know, until it is lifted', () => {
+    const db = createPlacement()
+    const limited = {
+      kind: 'limited' as const, serverId: '1', startedAtWallMs: 0, limitPerS: 5, startDelayMs: 200
+    }
+    placement.recordSignals(db, near, limited, 0)
+    placement.removeServer(db, '1')
+    placement.recordSignals(db, near, { kind: 'unknown' }, 0)
+    expect(placement.limitOf(db, near)).toBe(5)
+    placement.recordSignals(db, near, { kind: 'none' }, 0)
+    expect(placement.limitOf(db, near)).toBeNull()
+  })
+
   test('an unresponsive server is chosen only if no other server is left', () => {
     const db = createPlacement()
     placement.setUnresponsive(db, near, true)
--- a/src/core/placement/placementDefinition.ts
+++ b/src/core/placement/placementDefinition.ts
@@ -3,9 +3,9 @@
 import type { RandomSource } from '../coreTypes.js'
 import type { ListedServer } from '../discovery/discoveryTypes.js'
 import { isReady } from '../discovery/discoveryDetector.js'
-import { clearPlacementDb, createPlacementDb, getOrCreateView, type PlacementDb } from './placementDb.js'
-import { declinesWork, expectedUtilizationRatio, isEjected } from './placementDetector.js'
-import { SendOutcome, type LoadReport, type ServerView } from './placementTypes.js'
+import { clearPlacementDb, createPlacementDb, getOrCreateView, limitOf, setLimit, type PlacementDb } from './placementDb.js'
+import { declinesWork, expectedUtilizationRatio, isEjected, mayBeAbout } from './placementDetector.js'
+import { SendOutcome, type LoadReport, type ServerSignals, type ServerView } from './placementTypes.js'
 
 /** Most servers compared for one call, so that the cost of a choice does not grow with the number of servers. */
 const COMPARED_MAX_COUNT = 8
@@ -19,6 +19,8 @@
 const EJECT_MAX_MS: Millis = 2_000
 /** Longest time for which a node counts as shutting down; the platform kills a process sooner. */
 const LEAVING_MAX_MS: Millis = 20_000
+/** Cost that ranks servers whose rate limit allows no further call behind the others. */
+const LIMITED_COST = 10
 /** Cost that ranks ejected servers behind all others; they are chosen only if no other server is left. */
 const EJECTED_COST = 100
 
@@ -33,6 +35,7 @@
   const view = getOrCreateView(db, server)
   let cost = expectedUtilizationRatio(server, view, nowMs) + view.shedRatio + random() * COST_JITTER_RATIO
   if (server.dataCentre !== db.settings.ownDataCentre) cost += db.settings.remotePenaltyRatio
+  if (nowMs < view.limitedUntilMs) cost += LIMITED_COST
   if (isEjected(view, nowMs)) cost += EJECTED_COST
   return cost
 }
@@ -95,6 +98,28 @@
   view.sentSinceReportCount = 0
 }
 
+/**
+ * Records what a server asks for, as its node reports it. A node that does not know says nothing of the server, so
+ * what is known here stays.
+ */
+function recordSignals (db: PlacementDb, server: ListedServer, signals: ServerSignals, nowMs: Millis): void {
+  switch (signals.kind) {
+    case 'unknown': return
+    case 'none':
+      if (limitOf(db, server) === null) return
+      setLimit(db, server, null)
+      getOrCreateView(db, server).limitedUntilMs = -Infinity
+      return
+    case 'limited': {
+      const isAboutServer = mayBeAbout(signals, server)
+      setLimit(db, isAboutServer ? server : signals, signals.limitPerS)
+      if (isAboutServer) getOrCreateView(db, server).limitedUntilMs = nowMs + signals.startDelayMs
+      return
+    }
+    default: assertNever(signals)
+  }
+}
+
 function recordFailure (view: ServerView, nowMs: Millis): void {
   view.consecutiveFailuresCount += 1
   const stepsCount = view.consecutiveFailuresCount - FAILURES_TO_EJECT_COUNT
@@ -163,6 +188,8 @@
   chooseServer,
   recordSend,
   recordLoadReport,
+  recordSignals,
+  limitOf,
   recordOutcome,
   setUnresponsive,
   markLeaving,
--- a/src/core/placement/placementDetector.ts
+++ b/src/core/placement/placementDetector.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '../../clock/clock.js'
 import type { ListedServer } from '../discovery/discoveryTypes.js'
-import type { ServerView } from './placementTypes.js'
+import type { NamedSignals, ServerView } from './placementTypes.js'
 
 /** Age at which a load report is ignored: most calls that it counted have ended by then. */
 const REPORT_LIFETIME_MS: Millis = 1_000
@@ -27,6 +27,16 @@
   return nowMs < view.ejectedUntilMs || view.isUnresponsive
 }
 
+/**
+ * Whether signals are about a listed server. A node may know a later incarnation of its server than the list here,
+ * or only parts of its identity.
+ */
+export function mayBeAbout ({ serverId, startedAtWallMs }: NamedSignals, server: ListedServer): boolean {
+  if (serverId === '') return true
+  return serverId === server.serverId &&
+    (startedAtWallMs === 0 || server.startedAtWallMs === 0 || startedAtWallMs === server.startedAtWallMs)
+}
+
 /** Whether the server's own node recently reported that it accepts no new work. */
 export function declinesWork (view: ServerView, nowMs: Millis): boolean {
   return view.report?.acceptsWork === false && nowMs - view.reportedAtMs < REPORT_LIFETIME_MS
--- a/src/core/placement/placementTypes.ts
+++ b/src/core/placement/placementTypes.ts
@@ -10,6 +10,27 @@
   readonly acceptsWork: boolean
 }
 
+/** What a backend server asks of the nodes in its answers, as known to its own node. */
+export type ServerSignals =
+  /** The server has not answered this process of its node yet. */
+  | { readonly kind: 'unknown' }
+  /** The server names no limit. */
+  | { readonly kind: 'none' }
+  | {
+    readonly kind: 'limited'
+    /** The backend server that named the limit, empty while its node does not know its id. */
+    readonly serverId: string
+    /** Unix time of its start, 0 if unknown. */
+    readonly startedAtWallMs: Millis
+    /** Requests a second that it takes from all nodes together. */
+    readonly limitPerS: number
+    /** Time until the limit allows one more call. */
+    readonly startDelayMs: Millis
+  }
+
+/** Signals that name the backend server from which they are. */
+export type NamedSignals = Extract<ServerSignals, { kind: 'limited' }>
+
 /** How a call to a server ended, for the statistics of that server. */
 export enum SendOutcome {
   /** The backend server answered, and not with a server error. */
@@ -47,6 +68,8 @@
   shedRatio: number
   /** End of the warm-up after a start of the server. */
   warmUntilMs: Millis
+  /** Until when the rate limit of the server allows no further call. */
+  limitedUntilMs: Millis
   /** Set while the server's node does not respond. */
   isUnresponsive: boolean
   /** Until when the server's node counts as shutting down. */
--- a/src/core/rateLimit/rateLimitDb.ts
+++ b/src/core/rateLimit/rateLimitDb.ts
@@ -8,6 +8,13 @@
 export interface RateLimitDb {
   /** Requests a second that the backend server takes from all nodes together, or null while it names no limit. */
   limitPerS: number | null
+  /** When the limit was last named, in an answer or by a peer. */
+  namedAtMs: Millis
+  /** Whether the backend server has answered this process; until then peers may know of a limit. */
+  hasAnswered: boolean
+  /** Requests that may start at once (token bucket). */
+  tokens: number
+  refilledAtMs: Millis
   readonly sent: SlidingCount
   readonly repeated: SlidingCount
 }
@@ -15,14 +22,22 @@
 export function createRateLimitDb (): RateLimitDb {
   return {
     limitPerS: null,
+    namedAtMs: -Infinity,
+    hasAnswered: false,
+    tokens: 0,
+    refilledAtMs: -Infinity,
     sent: createSlidingCount(LIMIT_WINDOW_MS),
     repeated: createSlidingCount(LIMIT_WINDOW_MS)
   }
 }
 
-/** Resets the state to that of a node whose backend server has not answered yet. */
+/** Resets the state to that of a node whose backend server has not answered yet, as after its replacement. */
 export function clearRateLimitDb (db: RateLimitDb): void {
   db.limitPerS = null
+  db.namedAtMs = -Infinity
+  db.hasAnswered = false
+  db.tokens = 0
+  db.refilledAtMs = -Infinity
   for (const count of [db.sent, db.repeated]) {
     count.slices.fill(0)
     count.total = 0
--- a/src/core/rateLimit/rateLimitTypes.ts
+++ b/src/core/rateLimit/rateLimitTypes.ts
@@ -8,6 +8,14 @@
   None = 'none'
 }
 
+/** What an answer says of the limit. */
+export interface LimitAnswer {
+  /** Requests a second that the backend server takes from all nodes together, or null when it names no limit. */
+  readonly limitPerS: number | null
+  /** When the request was sent. */
+  readonly sentAtMs: Millis
+}
+
 /** Requests sent to the backend server lately, beside the limit that it names. */
 export interface LimitReport {
   readonly limitPerS: number
--- a/src/core/slots/slotsDb.ts
+++ b/src/core/slots/slotsDb.ts
@@ -1,8 +1,11 @@
 import type { Millis } from '../../clock/clock.js'
+import { clearRateLimitDb, createRateLimitDb, type RateLimitDb } from '../rateLimit/rateLimitDb.js'
 import type { SlotsSettings, WaitingCall } from './slotsTypes.js'
 
 export interface SlotsDb {
   readonly settings: SlotsSettings
+  /** Limit on the rate at which calls start. */
+  readonly rateLimit: RateLimitDb
   slotsCount: number
   acceptsWork: boolean
   runningCount: number
@@ -21,6 +24,7 @@
 export function createSlotsDb (settings: SlotsSettings): SlotsDb {
   return {
     settings,
+    rateLimit: createRateLimitDb(),
     slotsCount: 0,
     acceptsWork: true,
     runningCount: 0,
@@ -34,6 +38,7 @@
 
 /** Resets the state. */
 export function clearSlotsDb (db: SlotsDb): void {
+  clearRateLimitDb(db.rateLimit)
   db.slotsCount = 0
   db.acceptsWork = true
   db.runningCount = 0
--- a/src/core/slots/slotsDefinition.spec.ts
+++ b/src/core/slots/slotsDefinition.spec.ts
@@ -1,3 +1,4 @@
+import { rateLimitDefinition } from '../rateLimit/rateLimitDefinition.js'
 import type { SlotsDb } from './slotsDb.js'
 import { slotsDefinition as slots } from './slotsDefinition.js'
 import type { WaitingCall } from './slotsTypes.js'
@@ -72,6 +73,24 @@
     expect(log).toEqual(['start a', 'refuse waits not_accepting', 'refuse late not_accepting'])
   })
 
+  test('calls start at the rate that the server allows, although slots are free', () => {
+    const { db, log, offer } = createSlots(10)
+    rateLimitDefinition.recordAnswer(db.rateLimit, { limitPerS: 10, sentAtMs: 0 }, 0)
+    for (const name of ['a', 'b', 'c', 'd']) offer(name, 100)
+    expect(slots.isRateLimited(db, 0)).toBe(true)
+    slots.startWaitingCalls(db, 100)
+    slots.startWaitingCalls(db, 150)
+    slots.startWaitingCalls(db, 200)
+    expect(log).toEqual(['refuse d queue_full', 'start a', 'start b'])
+  })
+
+  test('the reported capacity is what runs at once at the rate that the server allows', () => {
+    const { db } = createSlots(10)
+    rateLimitDefinition.recordAnswer(db.rateLimit, { limitPerS: 20, sentAtMs: 0 }, 0)
+    slots.releaseSlot(db, 120, 0)
+    expect(slots.getLoadReport(db).limitCount).toBe(3)
+  })
+
   test('some slots stay unused by default, because servers slow down when they are nearly full', () => {
     const db = slots.createDb(slots.defaults)
     slots.setSlotsCount(db, 46, 0)
--- a/src/core/slots/slotsDefinition.ts
+++ b/src/core/slots/slotsDefinition.ts
@@ -1,7 +1,8 @@
 import type { Millis } from '../../clock/clock.js'
 import type { LoadReport } from '../placement/placementTypes.js'
+import { rateLimitDefinition } from '../rateLimit/rateLimitDefinition.js'
 import { clearSlotsDb, createSlotsDb, type SlotsDb } from './slotsDb.js'
-import { hasFreeSlot, limitCount } from './slotsDetector.js'
+import { hasFreeSlot, limitCount, rateLimitedCount } from './slotsDetector.js'
 import { SlotRefusal, type SlotsSettings, type WaitingCall } from './slotsTypes.js'
 
 export const slotsDefaults: SlotsSettings = { usedSlotsRatio: 0.95, queueRatio: 1, rankDelayMs: 0.2 }
@@ -39,14 +40,18 @@
   queue.splice(at, 0, waiting)
 }
 
-/** Starts queued calls in free slots; calls whose `startByMs` has passed are refused. */
+/**
+ * Starts queued calls in free slots, as far as the rate limit allows; calls whose `startByMs` has passed are
+ * refused. To be called several times a second, since the rate limit allows further calls as time passes.
+ */
 function startWaitingCalls (db: SlotsDb, nowMs: Millis): void {
-  while (db.queue.length > 0 && hasFreeSlot(db)) {
+  while (db.queue.length > 0 && hasFreeSlot(db) && rateLimitDefinition.mayStart(db.rateLimit, nowMs)) {
     const next = db.queue.shift()!
     if (next.call.startByMs < nowMs) {
       next.refuse(SlotRefusal.WaitTooLong)
       continue
     }
+    rateLimitDefinition.takeToken(db.rateLimit, nowMs)
     db.runningCount += 1
     next.start()
   }
@@ -65,7 +70,10 @@
   db.offeredPerMs += 1 / LOAD_TIME_CONSTANT_MS
   enqueue(db, waiting)
   startWaitingCalls(db, nowMs)
-  const queueMaxCount = Math.max(1, Math.floor(limitCount(db) * db.settings.queueRatio))
+  const queueMaxCount = Math.min(
+    Math.max(1, Math.floor(limitCount(db) * db.settings.queueRatio)),
+    rateLimitDefinition.allowedCount(db.rateLimit, QUEUE_DRAIN_MS)
+  )
   if (db.queue.length <= queueMaxCount) return
   const last = db.queue.pop()!
   last.refuse(last === waiting ? SlotRefusal.QueueFull : SlotRefusal.Displaced)
@@ -121,11 +129,16 @@
   return Math.max(db.occupancyRatio, (db.offeredPerMs + queuedWork) * db.meanSlotMs / limitCount(db))
 }
 
+/** Whether calls wait or are refused because of the rate limit, although a slot is free. */
+function isRateLimited (db: SlotsDb, nowMs: Millis): boolean {
+  return hasFreeSlot(db) && !rateLimitDefinition.mayStart(db.rateLimit, nowMs)
+}
+
 function getLoadReport (db: SlotsDb): LoadReport {
   return {
     runningCount: db.runningCount,
     queuedCount: db.queue.length,
-    limitCount: limitCount(db),
+    limitCount: rateLimitedCount(db),
     acceptsWork: db.acceptsWork
   }
 }
@@ -141,6 +154,8 @@
   refuseExpiredCalls,
   setSlotsCount,
   setAcceptsWork,
+  startWaitingCalls,
+  isRateLimited,
   getLoadReport,
   getUtilizationRatio
 }
--- a/src/mesh/entryTask.ts
+++ b/src/mesh/entryTask.ts
@@ -43,6 +43,8 @@
 const RETRY_AFTER_MIN_RATIO = 0.25
 /** Random addition to Retry-After as a share of the latency objective, so that resends do not arrive at once. */
 const RETRY_AFTER_JITTER_RATIO = 0.25
+/** Utilization of a service whose servers are all at the limits that they name. */
+const SATURATED_UTILIZATION_RATIO = 1.5
 /** First status of server errors (RFC 9110, section 15.6). */
 const SERVER_ERROR_STATUS_MIN = 500
 /** Retry-After of answers to requests without a route. */
@@ -179,6 +181,7 @@
         : remainingMs * SUB_CALL_QUEUE_WAIT_RATIO,
       rank: call.traceContext.rootImportanceRank + (call.parent === null ? ROOT_RANK_OFFSET : 0),
       mayRepeat: mayRepeat(call.rule.requestKind),
+      knownLimitPerS: placementDefinition.limitOf(this.#options.placement, server),
       traceContext: call.reachedSendsCount > 0 ? { ...call.traceContext, isRetry: true } : call.traceContext
     }
   }
@@ -234,12 +237,13 @@
   #applyReport (
     call: EntryCall, attempt: Attempt, result: DispatchResult, report: ResultReport, nowMs: Millis
   ): void {
-    const { load, usage, arrivals } = report
+    const { load, usage, arrivals, signals } = report
     const { chainAdmission, fleetRetryBudget, placement } = this.#options
     fleetRetryBudgetDefinition.recordArrivalReport(
       fleetRetryBudget, call.serviceName, attempt.server.serverId, arrivals, nowMs
     )
     placementDefinition.recordLoadReport(placement, attempt.server, load, nowMs)
+    placementDefinition.recordSignals(placement, attempt.server, signals, nowMs)
     chainAdmissionDefinition.recordUtilization(chainAdmission, usage, nowMs)
     if (call.parent !== null) call.parent.addDownstreamUsage(usage)
     else if (result.kind === 'answered' && result.statusCode < SERVER_ERROR_STATUS_MIN) {
@@ -294,10 +298,22 @@
   /** Sends an answer of the node itself for a call that is not retried, unless another attempt is still open. */
   #answerWithoutResult (call: EntryCall): void {
     if (call.openAttempts.length > 0) return
+    if (call.lastRefusal === RefusalReason.ServerLimit) this.#recordSaturation(call)
     if (call.mayHaveRun) this.#sendOwnAnswer(call, OwnAnswer.UnknownOutcome, call.lastUnknownReason ?? 'unknown')
     else this.#sendOwnAnswer(call, OwnAnswer.NotRunRetryLater, call.lastRefusal)
   }
 
+  /**
+   * Records that the limits of a service's servers leave no room for a call, so that root requests whose chains
+   * contain the service are refused before they cause work. A single server at its limit says nothing of the others.
+   */
+  #recordSaturation (call: EntryCall): void {
+    const usage = [{ serviceName: call.serviceName, slotMs: 0, utilizationRatio: SATURATED_UTILIZATION_RATIO }]
+    const { chainAdmission, clock } = this.#options
+    chainAdmissionDefinition.recordUtilization(chainAdmission, usage, clock.monotonicMs())
+    call.parent?.addDownstreamUsage(usage)
+  }
+
   #timeOut (call: EntryCall): void {
     if (call.isEnded) return
     const mayHaveRun = call.mayHaveRun || call.openAttempts.length > 0
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -1,13 +1,14 @@
 import type { Clock, Millis } from '../clock/clock.js'
+import type { ListedServer } from '../core/discovery/discoveryTypes.js'
+import type { ServerSignals } from '../core/placement/placementTypes.js'
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
 import type { FleetRetryBudgetDb } from '../core/fleetRetryBudget/fleetRetryBudgetDb.js'
 import { fleetRetryBudgetDefinition } from '../core/fleetRetryBudget/fleetRetryBudgetDefinition.js'
-import type { RateLimitDb } from '../core/rateLimit/rateLimitDb.js'
 import { rateLimitDefinition } from '../core/rateLimit/rateLimitDefinition.js'
 import { LimitChange } from '../core/rateLimit/rateLimitTypes.js'
 import type { SlotsDb } from '../core/slots/slotsDb.js'
 import { slotsDefinition } from '../core/slots/slotsDefinition.js'
-import type { SlotRefusal, WaitingCall } from '../core/slots/slotsTypes.js'
+import { SlotRefusal, type WaitingCall } from '../core/slots/slotsTypes.js'
 import type { Exchange, ExchangePool, ExchangeResult } from '../http/exchangePool.js'
 import type { BackendAnswer, BackendDialect } from './backendDialect.js'
 import {
@@ -31,7 +32,6 @@
   readonly pool: ExchangePool
   readonly dialect: BackendDialect
   readonly slots: SlotsDb
-  readonly rateLimit: RateLimitDb
   readonly fleetRetryBudget: FleetRetryBudgetDb
   readonly crashGuard: CrashGuard
   readonly log: NodeLog
@@ -84,7 +84,7 @@
 
   /** Writes the request. The deadline is checked here, since the process may have been paused before. */
   #start (): void {
-    const { clock, dialect, fleetRetryBudget, pool, rateLimit } = this.#executor.options
+    const { clock, dialect, fleetRetryBudget, pool, slots } = this.#executor.options
     this.#stage = 'running'
     this.#startedAtMs = clock.monotonicMs()
     this.#executor.runningById.set(this.call.requestId, this)
@@ -94,7 +94,7 @@
       return
     }
     fleetRetryBudgetDefinition.recordArrival(fleetRetryBudget, this.call.traceContext.isRetry, this.#startedAtMs)
-    rateLimitDefinition.recordSend(rateLimit, this.call.traceContext.isRetry, this.#startedAtMs)
+    rateLimitDefinition.recordSend(slots.rateLimit, this.call.traceContext.isRetry, this.#startedAtMs)
     this.#exchange = pool.send({
       bytes: dialect.encodeRequest(this.call, remainingMs, this.#executor.serverId),
       isHead: this.call.method === 'HEAD',
@@ -119,10 +119,7 @@
 
   #onSlotRefused (reason: SlotRefusal): void {
     this.#stage = 'ended'
-    const isNotAccepting = reason === 'not_accepting'
-    this.#finish({
-      kind: 'not_run', reason: isNotAccepting ? RefusalReason.NotAccepting : RefusalReason.NoRoom, reachedBackend: false
-    })
+    this.#finish({ kind: 'not_run', reason: this.#executor.toRefusalReason(reason), reachedBackend: false })
   }
 
   #onResult (result: ExchangeResult): void {
@@ -163,6 +160,8 @@
   readonly runningById = new Map<string, Execution>()
   /** Id of the current incarnation of this node's backend server, or empty while it is unknown. */
   serverId = ''
+  /** Unix time of the start of this incarnation, 0 if unknown. */
+  #startedAtWallMs: Millis = 0
   /** Executions submitted in this turn of the event loop, not yet enqueued for a slot. */
   #submitted: Execution[] = []
   #isStopping = false
@@ -182,7 +181,40 @@
     const load = this.#isStopping ? { ...reading, acceptsWork: false } : reading
     const utilizationRatio = slotsDefinition.getUtilizationRatio(slots, nowMs)
     const arrivals = fleetRetryBudgetDefinition.arrivalReport(fleetRetryBudget, nowMs)
-    return { load, usage: [{ serviceName, slotMs, utilizationRatio }, ...downstream], arrivals }
+    const signals = this.#getSignals(nowMs)
+    return { load, usage: [{ serviceName, slotMs, utilizationRatio }, ...downstream], arrivals, signals }
+  }
+
+  #getSignals (nowMs: Millis): ServerSignals {
+    const { rateLimit, queue } = this.options.slots
+    const { limitPerS, hasAnswered } = rateLimit
+    if (limitPerS === null) return { kind: hasAnswered ? 'none' : 'unknown' }
+    return {
+      kind: 'limited',
+      serverId: this.serverId,
+      startedAtWallMs: this.#startedAtWallMs,
+      limitPerS,
+      startDelayMs: rateLimitDefinition.startDelayMs(rateLimit, queue.length, nowMs)
+    }
+  }
+
+  /** Takes over the list entry of this node's backend server. What a former incarnation asked for no longer holds. */
+  setListedServer ({ serverId, startedAtWallMs }: ListedServer): void {
+    const isOtherStart = startedAtWallMs !== this.#startedAtWallMs && this.#startedAtWallMs !== 0
+    if (this.serverId !== '' && (serverId !== this.serverId || isOtherStart)) this.#resetSignals()
+    this.serverId = serverId
+    this.#startedAtWallMs = startedAtWallMs
+  }
+
+  #resetSignals (): void {
+    rateLimitDefinition.clear(this.options.slots.rateLimit)
+    this.#isServerLeaving = false
+  }
+
+  toRefusalReason (refusal: SlotRefusal): RefusalReason {
+    const { clock, slots } = this.options
+    if (refusal === SlotRefusal.NotAccepting) return RefusalReason.NotAccepting
+    return slotsDefinition.isRateLimited(slots, clock.monotonicMs()) ? RefusalReason.ServerLimit : RefusalReason.NoRoom
   }
 
   remove (execution: Execution): void {
@@ -203,6 +235,7 @@
       })
       return { cancel: () => clearImmediate(timer) }
     }
+    this.#adoptLimit(call)
     const execution = new Execution(this, call, listener)
     this.openExecutions.add(execution)
     if (this.#submitted.length === 0) setImmediate(() => this.#enqueueSubmitted())
@@ -216,9 +249,19 @@
     }
   }
 
+  /** Adopts the limit that the sender knows, while this process has no answer of the server yet. */
+  #adoptLimit ({ knownLimitPerS, serverId }: DispatchedCall): void {
+    const { clock, log, slots } = this.options
+    if (knownLimitPerS === null || (this.serverId !== '' && serverId !== this.serverId)) return
+    if (!rateLimitDefinition.adoptLimit(slots.rateLimit, knownLimitPerS, clock.monotonicMs())) return
+    log.event('server_limit', { change: 'adopted', server: serverId, limit_per_s: knownLimitPerS, before: 'none' })
+  }
+
   #setServerId (serverId: string): void {
     this.options.log.event('own_server_changed', { server: serverId, before: this.serverId })
+    if (this.serverId !== '') this.#resetSignals()
     this.serverId = serverId
+    this.#startedAtWallMs = 0
   }
 
   #refusalReason (call: DispatchedCall): RefusalReason | null {
@@ -247,19 +290,22 @@
     this.#isStopping = true
   }
 
-  /** Refuses waiting calls that can no longer start in time, and closes idle connections. */
+  /** Starts or refuses waiting calls as time passes, and closes idle connections. */
   sweep (): void {
-    slotsDefinition.refuseExpiredCalls(this.options.slots, this.options.clock.monotonicMs())
+    const { clock, slots } = this.options
+    slotsDefinition.refuseExpiredCalls(slots, clock.monotonicMs())
+    slotsDefinition.startWaitingCalls(slots, clock.monotonicMs())
     this.options.pool.closeStaleConnections()
     this.#logSendsUnderLimit()
   }
 
   #logSendsUnderLimit (): void {
-    const { clock, log, rateLimit } = this.options
+    const { clock, log, slots } = this.options
     const nowMs = clock.monotonicMs()
-    if (rateLimit.limitPerS === null || nowMs - this.#lastLimitLogAtMs < LIMIT_LOG_INTERVAL_MS) return
+    if (nowMs - this.#lastLimitLogAtMs < LIMIT_LOG_INTERVAL_MS) return
+    const report = rateLimitDefinition.getReport(slots.rateLimit, nowMs)
+    if (report === null) return
     this.#lastLimitLogAtMs = nowMs
-    const report = rateLimitDefinition.getReport(rateLimit, nowMs)!
     log.event('sends_under_limit', {
       server: this.serverId,
       limit_per_s: report.limitPerS,
@@ -270,10 +316,13 @@
   }
 
   /** Takes note of the limit that the backend server names, and of its leaving. */
-  #recordSignals (answer: BackendAnswer): void {
-    const { log, rateLimit } = this.options
+  #recordSignals (answer: BackendAnswer, tookMs: Millis): void {
+    const { clock, log, slots: { rateLimit } } = this.options
+    const nowMs = clock.monotonicMs()
     const before = rateLimit.limitPerS
-    const change = rateLimitDefinition.recordAnswer(rateLimit, answer.limitPerS)
+    const change = rateLimitDefinition.recordAnswer(
+      rateLimit, { limitPerS: answer.limitPerS, sentAtMs: nowMs - tookMs }, nowMs
+    )
     switch (change) {
       case LimitChange.Named:
       case LimitChange.Lifted:
@@ -300,7 +349,7 @@
           slotsDefinition.setSlotsCount(this.options.slots, answer.slotsCount, this.options.clock.monotonicMs())
         }
         if (answer.serverId !== '' && answer.serverId !== this.serverId) this.#setServerId(answer.serverId)
-        this.#recordSignals(answer)
+        this.#recordSignals(answer, result.tookMs)
         if (answer.notExecuted) return { kind: 'not_run', reason: RefusalReason.BackendShed, reachedBackend: true }
         const isSuccess = result.head.statusCode < 300
         if (answer.isEncoded || (isSuccess && !answer.isSigned)) {
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -1,5 +1,6 @@
 import { Packr } from 'msgpackr'
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
+import type { ServerSignals } from '../core/placement/placementTypes.js'
 import type { SpreadId, TreeNumber } from '../core/spread/spreadTypes.js'
 import type { UnknownOutcomeReason, DispatchedCall, DispatchResult, RefusalReason, ResultReport } from './meshTypes.js'
 
@@ -62,8 +63,29 @@
 /** Stands for counts that the sender does not know. */
 const NOT_KNOWN = -1
 
-/** Encodes the load and the arrivals as six numbers, then three fields for each service in the usage. */
-function encodeReport ({ load, usage, arrivals }: ResultReport): unknown[] {
+/** Encodes what a server asks for as one field, or null for the usual case that it asks for nothing. */
+function encodeSignals (signals: ServerSignals): unknown[] | null {
+  switch (signals.kind) {
+    case 'none': return null
+    case 'unknown': return []
+    case 'limited':
+      return [signals.serverId, signals.startedAtWallMs, signals.limitPerS, Math.ceil(signals.startDelayMs)]
+  }
+}
+
+function decodeSignals (field: unknown): ServerSignals {
+  if (field === null || field === undefined) return { kind: 'none' }
+  const fields = field as unknown[]
+  if (fields.length === 0) return { kind: 'unknown' }
+  const [serverId, startedAtWallMs, limitPerS, startDelayMs] = fields as [string, number, number, number]
+  return { kind: 'limited', serverId, startedAtWallMs, limitPerS, startDelayMs }
+}
+
+/**
+ * Encodes the load and the arrivals as six numbers, then three fields for each service in the usage, then what the
+ * server asks for, if it does.
+ */
+function encodeReport ({ load, usage, arrivals, signals }: ResultReport): unknown[] {
   const fields: unknown[] = [
     load.runningCount, load.queuedCount, load.limitCount, load.acceptsWork ? 1 : 0,
     arrivals === null ? NOT_KNOWN : arrivals.firstCount, arrivals === null ? NOT_KNOWN : arrivals.repeatedCount
@@ -71,6 +93,8 @@
   for (const { serviceName, slotMs, utilizationRatio } of usage) {
     fields.push(serviceName, Math.round(slotMs), Math.round(utilizationRatio * PER_MILLE))
   }
+  const signalsField = encodeSignals(signals)
+  if (signalsField !== null) fields.push(signalsField)
   return fields
 }
 
@@ -100,7 +124,7 @@
         frame.kind, frame.number, call.serviceName, call.serverId, call.requestId, call.method, call.target,
         call.headerText, call.body, Math.floor(call.remainingMs), Math.floor(call.queueWaitMaxMs), call.rank,
         call.mayRepeat ? 1 : 0, traceContext.rootId, traceContext.rootRoute, traceContext.rootImportanceRank,
-        traceContext.depth, traceContext.isRetry ? 1 : 0
+        traceContext.depth, traceContext.isRetry ? 1 : 0, call.knownLimitPerS
       ]
     }
     case FrameKind.Answered:
@@ -141,14 +165,16 @@
   const [runningCount, queuedCount, limitCount, acceptsWork, firstCount, repeatedCount] =
     fields as [number, number, number, number, number, number]
   const usage: ServiceUsage[] = []
-  for (let index = 6; index + 2 < fields.length; index += 3) {
+  let index = 6
+  for (; index + 2 < fields.length; index += 3) {
     const [serviceName, slotMs, perMille] = fields.slice(index, index + 3) as [string, number, number]
     usage.push({ serviceName, slotMs, utilizationRatio: perMille / PER_MILLE })
   }
   return {
     load: { runningCount, queuedCount, limitCount, acceptsWork: acceptsWork === 1 },
     usage,
-    arrivals: firstCount === NOT_KNOWN ? null : { firstCount, repeatedCount }
+    arrivals: firstCount === NOT_KNOWN ? null : { firstCount, repeatedCount },
+    signals: decodeSignals(fields[index])
   }
 }
 
@@ -162,10 +188,10 @@
     case FrameKind.Call: {
       const [
         , number, serviceName, serverId, requestId, method, target, headerText, body, remainingMs, waitMaxMs, rank,
-        mayRepeatFlag, rootId, rootRoute, rootImportanceRank, depth, retryFlag
+        mayRepeatFlag, rootId, rootRoute, rootImportanceRank, depth, retryFlag, knownLimitPerS
       ] = fields as [
         unknown, number, string, string, string, string, string, string, Buffer, number, number, number, number,
-        string, string, number, number, number
+        string, string, number, number, number, number | null | undefined
       ]
       return {
         kind,
@@ -182,6 +208,7 @@
           queueWaitMaxMs: waitMaxMs,
           rank,
           mayRepeat: mayRepeatFlag === 1,
+          knownLimitPerS: knownLimitPerS ?? null,
           traceContext: { rootId, rootRoute, rootImportanceRank, depth, isRetry: retryFlag === 1 }
         }
       }
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -7,7 +7,6 @@
 import { ServerState, type ListedServer, type ListEvent } from '../core/discovery/discoveryTypes.js'
 import { placementDefinition } from '../core/placement/placementDefinition.js'
 import { fleetRetryBudgetDefinition } from '../core/fleetRetryBudget/fleetRetryBudgetDefinition.js'
-import { rateLimitDefinition } from '../core/rateLimit/rateLimitDefinition.js'
 import { slotsDefinition } from '../core/slots/slotsDefinition.js'
 import { CallerServer } from '../http/callerServer.js'
 import { ExchangePool } from '../http/exchangePool.js'
@@ -56,7 +55,6 @@
   readonly #discovery = discoveryDefinition.createDb()
   readonly #chainAdmission = chainAdmissionDefinition.createDb(chainAdmissionDefinition.defaults)
   readonly #slots = slotsDefinition.createDb(slotsDefinition.defaults)
-  readonly #rateLimit = rateLimitDefinition.createDb()
   readonly #placement
   readonly #fleetRetryBudget
   readonly #spreadTask: SpreadTask
@@ -118,7 +116,6 @@
       pool: this.#createBackendPool(),
       dialect: options.backendDialect,
       slots: this.#slots,
-      rateLimit: this.#rateLimit,
       fleetRetryBudget: this.#fleetRetryBudget,
       crashGuard: this.#crashGuard,
       log,
@@ -286,7 +283,7 @@
       caller_connections: () => this.#callerServer.connectionsCount,
       backend_running: () => this.#slots.runningCount,
       backend_queued: () => this.#slots.queue.length,
-      backend_rate_limit_per_s: () => this.#rateLimit.limitPerS ?? NaN,
+      backend_rate_limit_per_s: () => this.#slots.rateLimit.limitPerS ?? NaN,
       backend_slots_used_limit: () => this.#executor.createReport().load.limitCount,
       resident_bytes: () => process.memoryUsage.rss()
     }
@@ -387,7 +384,7 @@
     const acceptsWork = isOwn && server.state === ServerState.Ready
     if (isOwn) {
       slotsDefinition.setSlotsCount(this.#slots, server.slotsCount, nowMs)
-      this.#executor.serverId = server.serverId
+      this.#executor.setListedServer(server)
       if (this.#isStopping) placementDefinition.markLeaving(this.#placement, server, nowMs)
     }
     if (acceptsWork === this.#slots.acceptsWork) return
--- a/src/mesh/meshTypes.ts
+++ b/src/mesh/meshTypes.ts
@@ -1,7 +1,7 @@
 import type { Millis } from '../clock/clock.js'
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
 import type { ArrivalReport } from '../core/fleetRetryBudget/fleetRetryBudgetTypes.js'
-import type { LoadReport } from '../core/placement/placementTypes.js'
+import type { LoadReport, ServerSignals } from '../core/placement/placementTypes.js'
 
 /** Context of the root request, propagated to all calls made for it. */
 export interface TraceContext {
@@ -35,6 +35,8 @@
   readonly rank: number
   /** Whether the call may be executed more than once. */
   readonly mayRepeat: boolean
+  /** Limit on the rate of the backend server that the sender knows from forwarded answers, or null. */
+  readonly knownLimitPerS: number | null
   readonly traceContext: TraceContext
 }
 
@@ -45,6 +47,7 @@
   readonly usage: readonly ServiceUsage[]
   /** Calls that arrived at the backend server lately, or null while they are not known. */
   readonly arrivals: ArrivalReport | null
+  readonly signals: ServerSignals
 }
 
 /** Why a call did not run. Except for `BackendShed`, no byte of it reached a backend server. */
@@ -59,6 +62,8 @@
   CrashSuspect = 'crash_suspect',
   ConnectFailed = 'connect_failed',
   BackendShed = 'backend_shed',
+  /** The backend server takes no more requests at the moment than it names as its limit. */
+  ServerLimit = 'server_limit',
   MemoryFull = 'memory_full'
 }
 
--- a/src/mesh/peerLink.spec.ts
+++ b/src/mesh/peerLink.spec.ts
@@ -6,7 +6,7 @@
 
 const HELLO = { ip: '127.0.0.1', dataCentre: 'tartu', serviceName: 'depot' }
 const REPORT = {
-  load: { runningCount: 1, queuedCount: 0, limitCount: 10, acceptsWork: true }, usage: [], arrivals: null
+  load: { runningCount: 1, queuedCount: 0, limitCount: 10, acceptsWork: true }, usage: [], arrivals: null, signals: { kind: 'none' as const }
 }
 
 function createCall (requestId: string): DispatchedCall {
@@ -22,6 +22,7 @@
     queueWaitMaxMs: 1_000,
     rank: 1,
     mayRepeat: false,
+    knownLimitPerS: null,
     traceContext: { rootId: requestId, rootRoute: 'r', rootImportanceRank: 1, depth: 0, isRetry: false }
   }
 }
