Send nothing to a backend server that has said it leaves

Cause: departures were taken from the list only. The header was in the answers and nobody read it, so while the store is away, or for a server that never reports that it drains, requests went on until the list changed. Change: the node beside the server stops starting calls with the first such answer, its results say so, and every node that gets such a result no longer chooses that incarnation. The mark is kept by id and start time, outlives the list entry, and is not lifted by what the list says, since a copy of the list may be older than the answer.

--- a/src/core/placement/placementDb.ts
+++ b/src/core/placement/placementDb.ts
@@ -9,10 +9,12 @@
    * node that has just started learns the limit of its server from the calls of its peers.
    */
   readonly limitsPerS: Map<string, number>
+  /** Incarnations of servers that said that they leave. An older copy of the list may contain them again as ready. */
+  readonly departing: Set<string>
 }
 
-/** Number of servers whose limits are remembered. */
-const LIMITS_MAX_COUNT = 5_000
+/** Number of servers of which signals are remembered. */
+const SIGNALS_MAX_COUNT = 5_000
 
 function incarnationKey ({ serverId, startedAtWallMs }: Pick<ListedServer, 'serverId' | 'startedAtWallMs'>): string {
   return `${serverId}@${startedAtWallMs}`
@@ -26,7 +28,19 @@
   db.limitsPerS.delete(key)
   if (limitPerS === null) return
   db.limitsPerS.set(key, limitPerS)
-  if (db.limitsPerS.size > LIMITS_MAX_COUNT) db.limitsPerS.delete(db.limitsPerS.keys().next().value!)
+  if (db.limitsPerS.size > SIGNALS_MAX_COUNT) db.limitsPerS.delete(db.limitsPerS.keys().next().value!)
+}
+
+/** Marks a server that leaves. The mark holds for its incarnation, whatever the list says later. */
+export function markDeparting (
+  db: PlacementDb, server: Pick<ListedServer, 'serverId' | 'startedAtWallMs'>
+): void {
+  db.departing.add(incarnationKey(server))
+  if (db.departing.size > SIGNALS_MAX_COUNT) db.departing.delete(db.departing.values().next().value!)
+}
+
+export function isDeparting (db: PlacementDb, server: ListedServer): boolean {
+  return db.departing.size > 0 && db.departing.has(incarnationKey(server))
 }
 
 /** Requests a second that a server takes from all nodes together, or null if it has named no limit. */
@@ -35,13 +49,14 @@
 }
 
 export function createPlacementDb (settings: PlacementSettings): PlacementDb {
-  return { settings, views: new Map(), limitsPerS: new Map() }
+  return { settings, views: new Map(), limitsPerS: new Map(), departing: new Set() }
 }
 
-/** Removes all views and limits. */
+/** Removes all views and signals. */
 export function clearPlacementDb (db: PlacementDb): void {
   db.views.clear()
   db.limitsPerS.clear()
+  db.departing.clear()
 }
 
 /** Observations of a server, created on first use. */
--- a/src/core/placement/placementDefinition.spec.ts
+++ b/src/core/placement/placementDefinition.spec.ts
@@ -92,6 +92,16 @@
     expect(placement.limitOf(db, near)).toBeNull()
   })
 
+  test('a server that said it leaves is not chosen again, whatever the list says, but its next incarnation is', () => {
+    const db = createPlacement()
+    placement.recordSignals(db, near, { kind: 'departing', serverId: '1', startedAtWallMs: 0 }, 0)
+    placement.removeServer(db, '1')
+    placement.recordSignals(db, near, { kind: 'none' }, 0)
+    expect(placement.chooseServer(db, { servers: [near], triedServerIds: [] }, 0, noRandom)).toBeUndefined()
+    const next = { ...near, startedAtWallMs: 7 }
+    expect(placement.chooseServer(db, { servers: [next], triedServerIds: [] }, 0, noRandom)).toBe(next)
+  })
+
   test('an unresponsive server is chosen only if no other server is left', () => {
     const db = createPlacement()
     placement.setUnresponsive(db, near, true)
--- a/src/core/placement/placementDefinition.ts
+++ b/src/core/placement/placementDefinition.ts
@@ -3,7 +3,9 @@
 import type { RandomSource } from '../coreTypes.js'
 import type { ListedServer } from '../discovery/discoveryTypes.js'
 import { isReady } from '../discovery/discoveryDetector.js'
-import { clearPlacementDb, createPlacementDb, getOrCreateView, limitOf, setLimit, type PlacementDb } from './placementDb.js'
+import {
+  clearPlacementDb, createPlacementDb, getOrCreateView, isDeparting, limitOf, markDeparting, setLimit, type PlacementDb
+} from './placementDb.js'
 import { declinesWork, expectedUtilizationRatio, isEjected, mayBeAbout } from './placementDetector.js'
 import { SendOutcome, type LoadReport, type ServerSignals, type ServerView } from './placementTypes.js'
 
@@ -44,7 +46,8 @@
   db: PlacementDb, request: PlacementRequest, nowMs: Millis
 ): ListedServer[] {
   return request.servers.filter(server => isReady(server) && !request.triedServerIds.includes(server.serverId) &&
-    !declinesWork(getOrCreateView(db, server), nowMs) && !isMarkedLeaving(db, server, nowMs))
+    !declinesWork(getOrCreateView(db, server), nowMs) && !isMarkedLeaving(db, server, nowMs) &&
+    !isDeparting(db, server))
 }
 
 /** A random sample of at most `COMPARED_MAX_COUNT` candidates, most of them from this node's data centre. */
@@ -116,6 +119,9 @@
       if (isAboutServer) getOrCreateView(db, server).limitedUntilMs = nowMs + signals.startDelayMs
       return
     }
+    case 'departing':
+      markDeparting(db, mayBeAbout(signals, server) ? server : signals)
+      return
     default: assertNever(signals)
   }
 }
--- a/src/core/placement/placementTypes.ts
+++ b/src/core/placement/placementTypes.ts
@@ -14,7 +14,7 @@
 export type ServerSignals =
   /** The server has not answered this process of its node yet. */
   | { readonly kind: 'unknown' }
-  /** The server names no limit. */
+  /** The server names no limit and does not leave. */
   | { readonly kind: 'none' }
   | {
     readonly kind: 'limited'
@@ -27,9 +27,11 @@
     /** Time until the limit allows one more call. */
     readonly startDelayMs: Millis
   }
+  /** The server takes no more requests, for the rest of its life. */
+  | { readonly kind: 'departing', readonly serverId: string, readonly startedAtWallMs: Millis }
 
 /** Signals that name the backend server from which they are. */
-export type NamedSignals = Extract<ServerSignals, { kind: 'limited' }>
+export type NamedSignals = Extract<ServerSignals, { kind: 'limited' | 'departing' }>
 
 /** How a call to a server ended, for the statistics of that server. */
 export enum SendOutcome {
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -167,7 +167,7 @@
   #isStopping = false
   #lastProbeAtMs: Millis = -Infinity
   #lastLimitLogAtMs: Millis = -Infinity
-  #isServerLeaving = false
+  #isServerDeparting = false
 
   constructor (options: ExecutorOptions) {
     this.options = options
@@ -188,11 +188,12 @@
   #getSignals (nowMs: Millis): ServerSignals {
     const { rateLimit, queue } = this.options.slots
     const { limitPerS, hasAnswered } = rateLimit
+    const server = { serverId: this.serverId, startedAtWallMs: this.#startedAtWallMs }
+    if (this.#isServerDeparting) return { kind: 'departing', ...server }
     if (limitPerS === null) return { kind: hasAnswered ? 'none' : 'unknown' }
     return {
       kind: 'limited',
-      serverId: this.serverId,
-      startedAtWallMs: this.#startedAtWallMs,
+      ...server,
       limitPerS,
       startDelayMs: rateLimitDefinition.startDelayMs(rateLimit, queue.length, nowMs)
     }
@@ -208,7 +209,7 @@
 
   #resetSignals (): void {
     rateLimitDefinition.clear(this.options.slots.rateLimit)
-    this.#isServerLeaving = false
+    this.#isServerDeparting = false
   }
 
   toRefusalReason (refusal: SlotRefusal): RefusalReason {
@@ -285,6 +286,11 @@
     })
   }
 
+  /** Whether the backend server has said that it leaves. It gets no further calls, whatever its list entry says. */
+  get isServerDeparting (): boolean {
+    return this.#isServerDeparting
+  }
+
   /** Refuses new calls because the process stops; calls accepted before run on. */
   stopAccepting (): void {
     this.#isStopping = true
@@ -315,9 +321,10 @@
     })
   }
 
-  /** Takes note of the limit that the backend server names, and of its leaving. */
+  /** Applies the limit that the backend server names, and stops sending to it once it says that it leaves. */
   #recordSignals (answer: BackendAnswer, tookMs: Millis): void {
-    const { clock, log, slots: { rateLimit } } = this.options
+    const { clock, log, slots } = this.options
+    const { rateLimit } = slots
     const nowMs = clock.monotonicMs()
     const before = rateLimit.limitPerS
     const change = rateLimitDefinition.recordAnswer(
@@ -331,9 +338,10 @@
       case LimitChange.Changed:
       case LimitChange.None:
     }
-    if (answer.isLeaving === this.#isServerLeaving) return
-    this.#isServerLeaving = answer.isLeaving
-    log.event('server_leaving', { server: this.serverId, is_leaving: answer.isLeaving })
+    if (!answer.isLeaving || this.#isServerDeparting) return
+    this.#isServerDeparting = true
+    log.event('server_departing', { server: this.serverId })
+    slotsDefinition.setAcceptsWork(slots, false)
   }
 
   toDispatchResult (result: ExchangeResult): DispatchResult {
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -70,6 +70,7 @@
     case 'unknown': return []
     case 'limited':
       return [signals.serverId, signals.startedAtWallMs, signals.limitPerS, Math.ceil(signals.startDelayMs)]
+    case 'departing': return [signals.serverId, signals.startedAtWallMs]
   }
 }
 
@@ -77,7 +78,9 @@
   if (field === null || field === undefined) return { kind: 'none' }
   const fields = field as unknown[]
   if (fields.length === 0) return { kind: 'unknown' }
-  const [serverId, startedAtWallMs, limitPerS, startDelayMs] = fields as [string, number, number, number]
+  const [serverId, startedAtWallMs] = fields as [string, number]
+  if (fields.length === 2) return { kind: 'departing', serverId, startedAtWallMs }
+  const [limitPerS, startDelayMs] = fields.slice(2) as [number, number]
   return { kind: 'limited', serverId, startedAtWallMs, limitPerS, startDelayMs }
 }
 
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -381,12 +381,12 @@
     const { settings, log } = this.#options
     const server = discoveryDefinition.serverAt(this.#discovery, settings.ip, settings.backend.port)
     const isOwn = server !== undefined && server.serviceName === settings.serviceName
-    const acceptsWork = isOwn && server.state === ServerState.Ready
     if (isOwn) {
       slotsDefinition.setSlotsCount(this.#slots, server.slotsCount, nowMs)
       this.#executor.setListedServer(server)
       if (this.#isStopping) placementDefinition.markLeaving(this.#placement, server, nowMs)
     }
+    const acceptsWork = isOwn && server.state === ServerState.Ready && !this.#executor.isServerDeparting
     if (acceptsWork === this.#slots.acceptsWork) return
     log.event('own_server', {
       accepts_work: acceptsWork, server: server?.serverId ?? 'none', revision: this.#discovery.revision
