--- a/src/mesh/platformStore.ts
+++ b/src/mesh/platformStore.ts
@@ -31,6 +31,8 @@
 
 /** All server entries and the configuration as of one revision. */
 export interface PublishedState {
+  /** Counts how often the store has come back from a copy of its data; 0 if it does not say. */
+  readonly era: number
   readonly revision: number
   readonly servers: readonly ListedServer[]
   readonly configuration: Configuration | null
@@ -41,6 +43,7 @@
 
 /** Changes between two revisions of the store. */
 export interface PublishedChanges {
+  readonly era: number
   readonly afterRevision: number
   readonly revision: number
   readonly changes: readonly ListedChange[]
--- a/src/mesh/publishedStateTask.ts
+++ b/src/mesh/publishedStateTask.ts
@@ -40,6 +40,7 @@
   readonly #peerSync: PeerSyncTask
   readonly #refusedRevisions = new Map<string, number>()
   #configurationText = ''
+  #era: number | null = null
   #readAfterMs: Millis
 
   constructor (options: PublishedStateTaskOptions) {
@@ -70,6 +71,7 @@
         discoveryDefinition.applyChanges(discovery, changes, readAtMs)
       ),
       onSnapshot: (revision, servers, readAtMs) => {
+        this.#logIfIgnored('peer', revision)
         this.#onListUpdated(discoveryDefinition.applySnapshot(discovery, { revision, servers }, readAtMs))
       },
       onConfiguration: (text, fromIp) => this.#applyPeerConfiguration(text, fromIp),
@@ -115,6 +117,8 @@
 
   #applyState (state: PublishedState, readAtMs: Millis): void {
     const { discovery } = this.#options
+    this.#logEra(state.era, state.revision)
+    this.#logIfIgnored('store', state.revision)
     this.#logRefused(state.refused)
     const isNewConfiguration = this.#applyConfiguration(state.configuration, state.configurationText, 'store')
     const afterRevision = discovery.revision
@@ -127,6 +131,7 @@
 
   #applyChanges (changes: PublishedChanges, readAtMs: Millis): void {
     const { discovery } = this.#options
+    this.#logEra(changes.era, changes.revision)
     this.#logRefused(changes.refused)
     const isNewConfiguration = this.#applyConfiguration(changes.configuration, changes.configurationText, 'store')
     const afterRevision = discovery.revision
@@ -167,6 +172,20 @@
     return true
   }
 
+  #logEra (era: number, revision: number): void {
+    if (era === this.#era) return
+    this.#options.log.event('store_era', {
+      era, before: this.#era ?? 'none', revision, known_revision: this.#options.discovery.revision
+    })
+    this.#era = era
+  }
+
+  #logIfIgnored (source: string, revision: number): void {
+    const knownRevision = this.#options.discovery.revision
+    if (revision >= knownRevision) return
+    this.#options.log.event('list_copy_ignored', { source, revision, known_revision: knownRevision })
+  }
+
   #logRefused (refused: readonly RefusedValue[]): void {
     for (const { key, revision, reason } of refused) {
       if (this.#refusedRevisions.get(key) === revision) continue
--- a/src/mesh/storeTask.spec.ts
+++ b/src/mesh/storeTask.spec.ts
@@ -5,7 +5,7 @@
 import { StoreFailureKind, type PlatformStore } from './platformStore.js'
 import { StoreTask } from './storeTask.js'
 
-const STATE = { revision: 5, servers: [], configuration: null, configurationText: '', refused: [] }
+const STATE = { era: 1, revision: 5, servers: [], configuration: null, configurationText: '', refused: [] }
 
 interface RecordedReads {
   readonly log: Array<{ kind: 'all' | 'changes', atMs: number }>
