Order the list by the store's era before its revision

Cause: the store came back from a copy and gave its revisions out again, and nodes compared them with those from before. Full copies were ignored (list_copy_ignored: revision=21 known_revision=22), and once the store had reached the known revision again, nodes watched from there and skipped what had been written at it: version 11 at revision 22. Change: answers of the store carry its era, and so do the list and the notices between nodes. An answer from another era leads to a full read. Era, then revision decide what is newer; a lower era counts only if this node has read it from the store itself, so a list cannot freeze. What was known before gets the revision of the copy, so that everything written later is newer. Between an entry in the copy and the known one, the server's own start time and sequence decide, so a drain from before the loss holds until the server writes again; servers that are missing in the copy are kept as after an outage, and those that had left are held back until the store has had time to remove them. The node that notices the new era sends the whole list along the trees.

--- a/src/core/discovery/discoveryDb.ts
+++ b/src/core/discovery/discoveryDb.ts
@@ -1,12 +1,29 @@
 import type { Millis } from '../../clock/clock.js'
 import type { ListedChange, ListedServer } from './discoveryTypes.js'
 
+/** What is known of a server whose entry was removed. */
+export interface Removal {
+  readonly revision: number
+  /** Start time and sequence of its last entry, 0 and -1 if none was known. */
+  readonly startedAtWallMs: Millis
+  readonly sequence: number
+}
+
 /** State of the discovery module: the server list as known at this node, with indexes. */
 export interface DiscoveryDb {
   readonly servers: Map<string, ListedServer>
   byService: Map<string, ListedServer[]>
   /** Latest incarnation at each `ip:port`. */
   byAddress: Map<string, ListedServer>
+  /** Era of the store that the revisions are from; -1 before the first read. */
+  era: number
+  /** When the first list of this era left the store, by this node's monotonic clock. */
+  eraReadAtMs: Millis
+  /**
+   * Entries up to this revision may be from the copy with which the present era began, and older than what was known
+   * before; -1 if nothing was known.
+   */
+  copyRevision: number
   /** Revision of the store up to which all changes that affect routing are known; -1 before the first read. */
   revision: number
   /** When the newest information on the list left the store, by this node's monotonic clock. */
@@ -14,10 +31,18 @@
   /** The latest changes, which are complete from `changesAfterRevision` on. */
   readonly recentChanges: ListedChange[]
   changesAfterRevision: number
-  /** Revision at which each entry was removed, so that an older copy from a peer does not restore it. */
-  readonly removedAtRevision: Map<string, number>
+  /** Removed entries, so that an older copy does not restore them. */
+  readonly removals: Map<string, Removal>
   /** Servers whose entries lapsed during an outage of the store, with the time until which they are still used. */
   readonly lapsedKeptUntilMs: Map<string, Millis>
+  /** Entries in the copy of the present era that had been removed before it, with the time from which they count. */
+  readonly heldBack: Map<string, HeldBackEntry>
+}
+
+/** An entry that does not count yet. */
+export interface HeldBackEntry {
+  readonly server: ListedServer
+  readonly untilMs: Millis
 }
 
 /** Largest number of removals kept; a peer's copy of the list lags behind by far fewer. */
@@ -46,11 +71,32 @@
   return change.kind === 'written' ? change.server.revision : change.revision
 }
 
-/** Records the revision at which an entry was removed, and drops the oldest record beyond the maximum. */
-export function recordRemoval (db: DiscoveryDb, serverId: string, revision: number): void {
-  db.removedAtRevision.set(serverId, revision)
-  if (db.removedAtRevision.size <= REMOVALS_MAX_COUNT) return
-  db.removedAtRevision.delete(db.removedAtRevision.keys().next().value!)
+/** Records that an entry was removed, and drops the oldest record beyond the maximum. */
+export function recordRemoval (
+  db: DiscoveryDb, serverId: string, revision: number, server: ListedServer | undefined
+): void {
+  const last = server ?? db.removals.get(serverId)
+  db.removals.set(serverId, {
+    revision, startedAtWallMs: last?.startedAtWallMs ?? 0, sequence: last?.sequence ?? -1
+  })
+  if (db.removals.size <= REMOVALS_MAX_COUNT) return
+  db.removals.delete(db.removals.keys().next().value!)
+}
+
+/**
+ * Begins a new era: revisions start again from those of the copy, so what is known from before gets the revision of
+ * the copy. Any entry that is written later has a higher one.
+ */
+export function beginEra (db: DiscoveryDb, era: number, copyRevision: number, readAtMs: Millis): void {
+  const isFirst = db.era < 0
+  db.era = era
+  db.eraReadAtMs = readAtMs
+  db.copyRevision = isFirst ? -1 : copyRevision
+  db.revision = -1
+  db.heldBack.clear()
+  for (const [serverId, server] of db.servers) db.servers.set(serverId, { ...server, revision: copyRevision })
+  for (const [serverId, removal] of db.removals) db.removals.set(serverId, { ...removal, revision: copyRevision })
+  rebuildIndexes(db)
 }
 
 /** Creates the state of a node that has not read the list yet. */
@@ -59,12 +105,16 @@
     servers: new Map(),
     byService: new Map(),
     byAddress: new Map(),
+    era: -1,
+    eraReadAtMs: -Infinity,
+    copyRevision: -1,
     revision: -1,
     newestReadAtMs: -Infinity,
     recentChanges: [],
     changesAfterRevision: -1,
-    removedAtRevision: new Map(),
-    lapsedKeptUntilMs: new Map()
+    removals: new Map(),
+    lapsedKeptUntilMs: new Map(),
+    heldBack: new Map()
   }
 }
 
@@ -73,12 +123,16 @@
   db.servers.clear()
   db.byService = new Map()
   db.byAddress = new Map()
+  db.era = -1
+  db.eraReadAtMs = -Infinity
+  db.copyRevision = -1
   db.revision = -1
   db.newestReadAtMs = -Infinity
   db.recentChanges.length = 0
   db.changesAfterRevision = -1
-  db.removedAtRevision.clear()
+  db.removals.clear()
   db.lapsedKeptUntilMs.clear()
+  db.heldBack.clear()
 }
 
 /**
--- a/src/core/discovery/discoveryDefinition.spec.ts
+++ b/src/core/discovery/discoveryDefinition.spec.ts
@@ -1,5 +1,9 @@
+import type { Millis } from '../../clock/clock.js'
+import type { DiscoveryDb } from './discoveryDb.js'
 import { discoveryDefinition as discovery, type ListChanges } from './discoveryDefinition.js'
-import { ServerState, type ListedChange, type ListedServer } from './discoveryTypes.js'
+import {
+  ListSource, ServerState, type ListedChange, type ListedServer, type ListEvent, type ListSnapshot
+} from './discoveryTypes.js'
 import { readAfterMs, READ_PERIOD_MS, watchWaitMs } from './readSchedule.js'
 
 function server (serverId: string, revision: number, change: Partial<ListedServer> = {}): ListedServer {
@@ -14,6 +18,7 @@
     state: ServerState.Ready,
     warmingMs: 0,
     startedAtWallMs: 0,
+    sequence: 1,
     revision,
     ...change
   }
@@ -21,7 +26,15 @@
 
 /** Changes up to a revision, without a gap after any known revision. */
 function contiguousChanges (revision: number, list: readonly ListedChange[]): ListChanges {
-  return { afterRevision: -1, revision, changes: list }
+  return { era: 1, afterRevision: -1, revision, changes: list }
+}
+
+/** Applies a full copy that was read from the store, by default in its first era. */
+function applyRead (
+  db: DiscoveryDb, { era = 1, ...list }: Partial<ListSnapshot> & Omit<ListSnapshot, 'era'>, readAtMs: Millis,
+  keptIds: readonly string[] = []
+): ListEvent[] {
+  return discovery.applySnapshot(db, { era, ...list }, ListSource.Store, readAtMs, keptIds)
 }
 
 function describeEvents (events: ReturnType<typeof discovery.applySnapshot>): string[] {
@@ -31,36 +44,36 @@
 describe('discovery', () => {
   test('heartbeats alone cause no events', () => {
     const db = discovery.createDb()
-    discovery.applySnapshot(db, { revision: 5, servers: [server('1', 3)] }, 0)
+    applyRead(db, { revision: 5, servers: [server('1', 3)] }, 0)
     const events = discovery.applyChanges(db, contiguousChanges(6, [{ kind: 'written', server: server('1', 6) }]), 100)
     expect({ events, revision: db.revision }).toEqual({ events: [], revision: 6 })
   })
 
   test('changes after a gap in the revisions are not applied, so that no change in the gap is lost', () => {
     const db = discovery.createDb()
-    discovery.applySnapshot(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
-    const later = { afterRevision: 8, revision: 9, changes: [{ kind: 'written' as const, server: server('3', 9) }] }
+    applyRead(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
+    const later = { era: 1, afterRevision: 8, revision: 9, changes: [{ kind: 'written' as const, server: server('3', 9) }] }
     expect(discovery.hasNoRevisionGap(db, later)).toBe(false)
     expect(describeEvents(discovery.applyChanges(db, later, 100))).toEqual([])
     expect(db.revision).toBe(5)
-    expect(describeEvents(discovery.applySnapshot(db, { revision: 9, servers: [server('2', 4), server('3', 9)] }, 150)))
+    expect(describeEvents(applyRead(db, { revision: 9, servers: [server('2', 4), server('3', 9)] }, 150)))
       .toEqual(['joined 3', 'left 1'])
   })
 
   test('a node that removed lapsed servers after a network partition applies later changes from its peers', () => {
     const db = discovery.createDb()
-    discovery.applySnapshot(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
-    discovery.applySnapshot(db, { revision: 9, servers: [server('2', 4)] }, 9_000)
-    expect(describeEvents(discovery.removeLapsedServers(db, 12_000))).toEqual(['left 1'])
-    const back = { afterRevision: 9, revision: 12, changes: [{ kind: 'written' as const, server: server('1', 12) }] }
+    applyRead(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
+    applyRead(db, { revision: 9, servers: [server('2', 4)] }, 9_000)
+    expect(describeEvents(discovery.expireGraces(db, 12_000))).toEqual(['left 1'])
+    const back = { era: 1, afterRevision: 9, revision: 12, changes: [{ kind: 'written' as const, server: server('1', 12) }] }
     expect(describeEvents(discovery.applyChanges(db, back, 12_100))).toEqual(['joined 1'])
   })
 
   test('an older copy from a peer neither restores a removed server nor removes a newer one', () => {
     const db = discovery.createDb()
-    discovery.applySnapshot(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
+    applyRead(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
     discovery.applyChanges(db, contiguousChanges(7, [{ kind: 'removed', serverId: '1', revision: 7 }]), 100)
-    expect(describeEvents(discovery.applySnapshot(db, { revision: 6, servers: [server('1', 3)] }, 200))).toEqual([])
+    expect(describeEvents(applyRead(db, { revision: 6, servers: [server('1', 3)] }, 200))).toEqual([])
     expect(describeEvents(discovery.applyChanges(db, contiguousChanges(6, [{ kind: 'written', server: server('1', 6) }]), 200))).toEqual([])
     expect(discovery.serversOf(db, 'depot').map(entry => entry.serverId)).toEqual(['2'])
   })
@@ -69,7 +82,7 @@
     const db = discovery.createDb()
     const old = server('1', 3, { ip: '10.0.0.9' })
     const next = server('2', 8, { ip: '10.0.0.9' })
-    discovery.applySnapshot(db, { revision: 8, servers: [next, old] }, 0)
+    applyRead(db, { revision: 8, servers: [next, old] }, 0)
     expect(discovery.serverAt(db, '10.0.0.9', 80)?.serverId).toBe('2')
     expect(discovery.serversOf(db, 'depot').map(entry => entry.serverId)).toEqual(['2'])
     discovery.applyChanges(db, contiguousChanges(9, [{ kind: 'removed', serverId: '1', revision: 9 }]), 100)
@@ -80,38 +93,38 @@
     const db = discovery.createDb()
     const late = server('1', 3, { ip: '10.0.0.9', startedAtWallMs: 2_000 })
     const early = server('2', 8, { ip: '10.0.0.9', startedAtWallMs: 1_000 })
-    discovery.applySnapshot(db, { revision: 8, servers: [late, early] }, 0)
+    applyRead(db, { revision: 8, servers: [late, early] }, 0)
     expect(discovery.serverAt(db, '10.0.0.9', 80)?.serverId).toBe('1')
   })
 
   test('servers whose entries lapsed during an outage of the store are kept for a grace period, then removed', () => {
     const db = discovery.createDb()
-    discovery.applySnapshot(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
-    expect(describeEvents(discovery.applySnapshot(db, { revision: 9, servers: [server('1', 3)] }, 6_000))).toEqual([])
+    applyRead(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
+    expect(describeEvents(applyRead(db, { revision: 9, servers: [server('1', 3)] }, 6_000))).toEqual([])
     expect(discovery.serversOf(db, 'depot')).toHaveLength(2)
-    expect(describeEvents(discovery.removeLapsedServers(db, 8_200))).toEqual([])
-    expect(describeEvents(discovery.removeLapsedServers(db, 8_400))).toEqual(['left 2'])
+    expect(describeEvents(discovery.expireGraces(db, 8_200))).toEqual([])
+    expect(describeEvents(discovery.expireGraces(db, 8_400))).toEqual(['left 2'])
   })
 
   test('a lapsed entry that is written again no longer counts as lapsed, so a later removal takes effect at once', () => {
     const db = discovery.createDb()
-    discovery.applySnapshot(db, { revision: 5, servers: [server('1', 3)] }, 0)
-    discovery.applySnapshot(db, { revision: 9, servers: [] }, 6_000)
+    applyRead(db, { revision: 5, servers: [server('1', 3)] }, 0)
+    applyRead(db, { revision: 9, servers: [] }, 6_000)
     discovery.applyChanges(db, contiguousChanges(10, [{ kind: 'written', server: server('1', 10) }]), 7_000)
-    expect(describeEvents(discovery.removeLapsedServers(db, 9_000))).toEqual([])
+    expect(describeEvents(discovery.expireGraces(db, 9_000))).toEqual([])
     expect(describeEvents(discovery.applyChanges(db, contiguousChanges(12, [{ kind: 'removed', serverId: '1', revision: 12 }]), 7_500))).toEqual(['left 1'])
   })
 
   test('a removal without an outage takes effect at once', () => {
     const db = discovery.createDb()
-    discovery.applySnapshot(db, { revision: 5, servers: [server('1', 3)] }, 0)
+    applyRead(db, { revision: 5, servers: [server('1', 3)] }, 0)
     expect(describeEvents(discovery.applyChanges(db, contiguousChanges(6, [{ kind: 'removed', serverId: '1', revision: 6 }]), 600))).toEqual(['left 1'])
   })
 
   test('a server whose entry can no longer be decoded is kept as it was known', () => {
     const db = discovery.createDb()
-    discovery.applySnapshot(db, { revision: 5, servers: [server('1', 3)] }, 0)
-    expect(describeEvents(discovery.applySnapshot(db, { revision: 9, servers: [] }, 100, ['1']))).toEqual([])
+    applyRead(db, { revision: 5, servers: [server('1', 3)] }, 0)
+    expect(describeEvents(applyRead(db, { revision: 9, servers: [] }, 100, ['1']))).toEqual([])
   })
 })
 
@@ -147,25 +160,25 @@
 describe('changes for nodes that lag behind', () => {
   test('are complete from the last full copy on', () => {
     const db = discovery.createDb()
-    discovery.applySnapshot(db, { revision: 10, servers: [server('a', 4), server('b', 7)] }, 0)
+    applyRead(db, { revision: 10, servers: [server('a', 4), server('b', 7)] }, 0)
     const written: ListedChange = { kind: 'written', server: server('c', 12) }
     const removed: ListedChange = { kind: 'removed', serverId: 'a', revision: 14 }
-    discovery.applyChanges(db, { afterRevision: 10, revision: 12, changes: [written] }, 1)
-    discovery.applyChanges(db, { afterRevision: 12, revision: 15, changes: [removed] }, 2)
-    expect(discovery.changesAfter(db, 9)).toBeNull()
-    expect(discovery.changesAfter(db, 10)).toHaveLength(2)
-    expect(discovery.changesAfter(db, 12)).toEqual([removed])
-    expect(discovery.changesAfter(db, 15)).toEqual([])
+    discovery.applyChanges(db, { era: 1, afterRevision: 10, revision: 12, changes: [written] }, 1)
+    discovery.applyChanges(db, { era: 1, afterRevision: 12, revision: 15, changes: [removed] }, 2)
+    expect(discovery.changesAfter(db, 1, 9)).toBeNull()
+    expect(discovery.changesAfter(db, 1, 10)).toHaveLength(2)
+    expect(discovery.changesAfter(db, 1, 12)).toEqual([removed])
+    expect(discovery.changesAfter(db, 1, 15)).toEqual([])
   })
 
   test('are dropped from the oldest on', () => {
     const db = discovery.createDb()
-    discovery.applySnapshot(db, { revision: 1, servers: [] }, 0)
+    applyRead(db, { revision: 1, servers: [] }, 0)
     for (let revision = 2; revision < 302; revision++) {
       const change = { kind: 'written' as const, server: server(`s${revision}`, revision) }
-      discovery.applyChanges(db, { afterRevision: revision - 1, revision, changes: [change] }, revision)
+      discovery.applyChanges(db, { era: 1, afterRevision: revision - 1, revision, changes: [change] }, revision)
     }
-    expect(discovery.changesAfter(db, 100)).toBeNull()
-    expect(discovery.changesAfter(db, 101)).toHaveLength(200)
+    expect(discovery.changesAfter(db, 1, 100)).toBeNull()
+    expect(discovery.changesAfter(db, 1, 101)).toHaveLength(200)
   })
 })
--- a/src/core/discovery/discoveryDefinition.ts
+++ b/src/core/discovery/discoveryDefinition.ts
@@ -1,11 +1,13 @@
 import type { Millis } from '../../clock/clock.js'
 import {
-  clearDiscoveryDb, createDiscoveryDb, rebuildIndexes, recordRecentChanges, recordRemoval, restartRecentChanges,
-  revisionOf, type DiscoveryDb
+  beginEra, clearDiscoveryDb, createDiscoveryDb, rebuildIndexes, recordRecentChanges, recordRemoval,
+  restartRecentChanges, revisionOf, type DiscoveryDb
 } from './discoveryDb.js'
-import { isOtherIncarnation, affectsRouting, isFirstReadAfterOutage } from './discoveryDetector.js'
 import {
-  ServerState, type ListedChange, type ListedServer, type ListEvent, type ListSnapshot
+  affectsRouting, beginsEra, hasComparableCounts, isFirstReadAfterOutage, isOtherIncarnation, isReportedBefore
+} from './discoveryDetector.js'
+import {
+  ListSource, ServerState, type ListedChange, type ListedServer, type ListEvent, type ListSnapshot
 } from './discoveryTypes.js'
 
 const NO_SERVERS: readonly ListedServer[] = []
@@ -15,6 +17,11 @@
  * return.
  */
 const LAPSE_GRACE_MS: Millis = 2_300
+/**
+ * How long an entry does not count that was removed before the store came back from a copy that still contains it.
+ * The store removes it again within three heartbeats if its server is gone.
+ */
+const HELD_BACK_MS: Millis = 6_000
 
 function toListEvent (before: ListedServer | undefined, after: ListedServer): ListEvent {
   if (before === undefined) return { kind: 'joined', server: after }
@@ -35,12 +42,45 @@
   return { db, events: [], readAtMs, isAfterOutage: isFirstReadAfterOutage(db, readAtMs) }
 }
 
+/**
+ * Whether an entry is older than the known one. The server's own counts decide between entries of one incarnation,
+ * since revisions are given out again in each era. They also decide between incarnations if the entry may be from the
+ * copy of the present era and the known one from before.
+ */
+function isOlderEntry (db: DiscoveryDb, server: ListedServer, before: ListedServer): boolean {
+  const mayBeFromCopy = server.revision <= db.copyRevision && before.revision <= db.copyRevision
+  if (mayBeFromCopy || hasComparableCounts(server, before)) return isReportedBefore(server, before)
+  return before.revision > server.revision
+}
+
+/**
+ * Whether an entry that is not known has been removed. One that was removed in an earlier era and may be from the copy
+ * is held back: its server may be gone, or may only have been silent for a while.
+ */
+function isRemoved ({ db, readAtMs }: ListUpdate, server: ListedServer): boolean {
+  const removal = db.removals.get(server.serverId)
+  if (removal === undefined || server.revision > removal.revision) return false
+  if (removal.revision !== db.copyRevision) return true
+  const untilMs = db.heldBack.get(server.serverId)?.untilMs ?? db.eraReadAtMs + HELD_BACK_MS
+  if (isReportedBefore(removal, server) || readAtMs >= untilMs) return false
+  db.heldBack.set(server.serverId, { server, untilMs })
+  return true
+}
+
+/** Holds entries back for longer by the time of an outage, in which the store could not remove any. */
+function extendHeldBack (db: DiscoveryDb, outageMs: Millis): void {
+  for (const [serverId, { server, untilMs }] of db.heldBack) {
+    db.heldBack.set(serverId, { server, untilMs: untilMs + outageMs })
+  }
+}
+
 /** Stores an entry, unless it is older than the known one or than its removal. */
-function writeEntry ({ db, events }: ListUpdate, server: ListedServer): void {
+function writeEntry (update: ListUpdate, server: ListedServer): void {
+  const { db, events } = update
   const before = db.servers.get(server.serverId)
-  const removedAtRevision = db.removedAtRevision.get(server.serverId) ?? -1
-  if (removedAtRevision >= server.revision || (before !== undefined && before.revision > server.revision)) return
+  if (before === undefined ? isRemoved(update, server) : isOlderEntry(db, server, before)) return
   db.lapsedKeptUntilMs.delete(server.serverId)
+  db.heldBack.delete(server.serverId)
   db.servers.set(server.serverId, server)
   if (!affectsRouting(before, server)) return
   events.push(toListEvent(before, server))
@@ -49,8 +89,9 @@
 /** Removes an entry. After an outage it may only have lapsed, so its server is kept for `LAPSE_GRACE_MS`. */
 function removeEntry ({ db, events, readAtMs, isAfterOutage }: ListUpdate, serverId: string, revision: number): void {
   const before = db.servers.get(serverId)
+  db.heldBack.delete(serverId)
   if (before === undefined) {
-    recordRemoval(db, serverId, revision)
+    recordRemoval(db, serverId, revision, undefined)
     return
   }
   if (before.revision > revision) return
@@ -62,7 +103,7 @@
   }
   db.lapsedKeptUntilMs.delete(serverId)
   db.servers.delete(serverId)
-  recordRemoval(db, serverId, revision)
+  recordRemoval(db, serverId, revision, before)
   events.push({ kind: 'left', server: before, revision })
 }
 
@@ -73,24 +114,35 @@
   return events
 }
 
+/** Whether a full copy of the list is at least as recent as the known one. */
+function isCurrent (db: DiscoveryDb, { era, revision }: ListSnapshot, source: ListSource, readAtMs: Millis): boolean {
+  return beginsEra(db, era, source, readAtMs) || (era === db.era && revision >= db.revision)
+}
+
 /**
- * Applies a full copy of the list, from the store or from a peer. A copy older
- * than the known revision has no effect. The entries of servers in `keptIds`
- * could not be decoded, so what is already known of them is kept.
+ * Applies a full copy of the list, from the store or from a peer. A copy that is older than the known list has no
+ * effect. The entries of servers in `keptIds` could not be decoded, so what is already known of them is kept.
+ *
+ * In the first copy of an era, entries may be older than what is known and others missing, until their servers write
+ * them again. Older entries have no effect, and missing ones are kept as after an outage of the store.
  *
  * @example
- * applySnapshot(db, { revision: 411, servers }, 0) // [{ kind: 'joined', ... }, ...]
+ * applySnapshot(db, { era: 1, revision: 411, servers }, ListSource.Store, 0) // [{ kind: 'joined', ... }, ...]
  */
 function applySnapshot (
-  db: DiscoveryDb, snapshot: ListSnapshot, readAtMs: Millis, keptIds: readonly string[] = []
+  db: DiscoveryDb, snapshot: ListSnapshot, source: ListSource, readAtMs: Millis, keptIds: readonly string[] = []
 ): ListEvent[] {
-  const update = beginUpdate(db, readAtMs)
-  if (snapshot.revision < db.revision) return update.events
+  if (!isCurrent(db, snapshot, source, readAtMs)) return []
+  const isNextEra = db.era >= 0 && db.era !== snapshot.era
+  const update = { ...beginUpdate(db, readAtMs), isAfterOutage: isNextEra || isFirstReadAfterOutage(db, readAtMs) }
+  if (db.era !== snapshot.era) beginEra(db, snapshot.era, snapshot.revision, readAtMs)
+  else if (update.isAfterOutage) extendHeldBack(db, readAtMs - db.newestReadAtMs)
   const listedIds = new Set([...snapshot.servers.map(server => server.serverId), ...keptIds])
   for (const server of snapshot.servers) writeEntry(update, server)
   for (const serverId of [...db.servers.keys()]) {
     if (!listedIds.has(serverId)) removeEntry(update, serverId, snapshot.revision)
   }
+  for (const serverId of db.heldBack.keys()) if (!listedIds.has(serverId)) db.heldBack.delete(serverId)
   const events = finishUpdate(update, snapshot.revision)
   restartRecentChanges(db, db.revision)
   return events
@@ -105,20 +157,27 @@
 
 /** The changes from after `afterRevision` up to `revision`, from a watch of the store or from a peer that read them. */
 export interface ListChanges {
+  readonly era: number
   readonly afterRevision: number
   readonly revision: number
   readonly changes: readonly ListedChange[]
 }
 
 /** Whether no revisions are missing between the known list and the changes; otherwise a full copy is needed. */
-function hasNoRevisionGap (db: DiscoveryDb, { afterRevision }: ListChanges): boolean {
-  return db.revision >= afterRevision
+function hasNoRevisionGap (db: DiscoveryDb, { era, afterRevision }: ListChanges): boolean {
+  return db.era === era && db.revision >= afterRevision
+}
+
+/** Whether a peer's changes are from an era that this node has left. */
+function isOutdated (db: DiscoveryDb, { era }: ListChanges, readAtMs: Millis): boolean {
+  return era !== db.era && !beginsEra(db, era, ListSource.Peer, readAtMs)
 }
 
 /** Applies changes to the list. Changes after a gap in the revisions have no effect. */
 function applyChanges (db: DiscoveryDb, list: ListChanges, readAtMs: Millis): ListEvent[] {
   const update = beginUpdate(db, readAtMs)
   if (!hasNoRevisionGap(db, list)) return update.events
+  if (update.isAfterOutage) extendHeldBack(db, readAtMs - db.newestReadAtMs)
   const { changes, revision } = list
   for (const change of changes) {
     if (change.kind === 'written') writeEntry(update, change.server)
@@ -130,20 +189,30 @@
 }
 
 /** The changes after a revision, or null if some of them are no longer known. */
-function changesAfter (db: DiscoveryDb, afterRevision: number): readonly ListedChange[] | null {
-  if (db.revision < 0 || afterRevision < db.changesAfterRevision) return null
+function changesAfter (db: DiscoveryDb, era: number, afterRevision: number): readonly ListedChange[] | null {
+  if (db.revision < 0 || era !== db.era || afterRevision < db.changesAfterRevision) return null
   return db.recentChanges.filter(change => revisionOf(change) > afterRevision)
 }
 
-/** Removes servers whose entries lapsed and were not written again in time. */
-function removeLapsedServers (db: DiscoveryDb, nowMs: Millis): ListEvent[] {
+/**
+ * Removes servers whose entries lapsed and were not written again in time, and adds those that were held back and are
+ * still listed by a later read.
+ */
+function expireGraces (db: DiscoveryDb, nowMs: Millis): ListEvent[] {
   const events: ListEvent[] = []
+  for (const [serverId, { server, untilMs }] of db.heldBack) {
+    if (untilMs > db.newestReadAtMs) continue
+    db.heldBack.delete(serverId)
+    db.servers.set(serverId, server)
+    events.push({ kind: 'joined', server })
+  }
   for (const [serverId, keptUntilMs] of db.lapsedKeptUntilMs) {
     if (keptUntilMs > nowMs) continue
     const server = db.servers.get(serverId)
     db.lapsedKeptUntilMs.delete(serverId)
     if (server === undefined) continue
     db.servers.delete(serverId)
+    recordRemoval(db, serverId, db.revision, server)
     events.push({ kind: 'left', server, revision: db.revision })
   }
   if (events.length > 0) rebuildIndexes(db)
@@ -161,10 +230,11 @@
   return db.byAddress.get(`${ip}:${port}`)
 }
 
-/** A copy of the list for peers, without lapsed servers. */
+/** A copy of the list for peers as the store has it: without lapsed servers, with those that are held back here. */
 function currentSnapshot (db: DiscoveryDb): ListSnapshot {
   const servers = [...db.servers.values()].filter(({ serverId }) => !db.lapsedKeptUntilMs.has(serverId))
-  return { revision: db.revision, servers }
+  for (const { server } of db.heldBack.values()) servers.push(server)
+  return { era: db.era, revision: db.revision, servers }
 }
 
 /** Discovery: the platform's list of backend servers as known at this node. */
@@ -173,10 +243,11 @@
   clear: clearDiscoveryDb,
   applySnapshot,
   hasNoRevisionGap,
+  isOutdated,
   applyChanges,
   toListedChange,
   changesAfter,
-  removeLapsedServers,
+  expireGraces,
   serversOf,
   serverAt,
   currentSnapshot
--- a/src/core/discovery/discoveryTypes.ts
+++ b/src/core/discovery/discoveryTypes.ts
@@ -20,6 +20,8 @@
   readonly warmingMs: Millis
   /** Unix time of its start, which distinguishes incarnations with the same id; 0 if unknown. */
   readonly startedAtWallMs: Millis
+  /** Counts what the server has reported since its start; orders the entries of one incarnation. */
+  readonly sequence: number
   /** Revision of the platform's store at which the entry was last written. */
   readonly revision: number
 }
@@ -29,8 +31,16 @@
   | { readonly kind: 'written', readonly server: ListedServer }
   | { readonly kind: 'removed', readonly serverId: string, readonly revision: number }
 
+/** Where a copy of the list is from. */
+export enum ListSource {
+  Store = 'store',
+  Peer = 'peer'
+}
+
 /** A full copy of the server list at one revision of the store. */
 export interface ListSnapshot {
+  /** Counts how often the store has come back from a copy of its data. Revisions are comparable within an era only. */
+  readonly era: number
   readonly revision: number
   readonly servers: readonly ListedServer[]
 }
--- a/src/core/placement/placementDefinition.spec.ts
+++ b/src/core/placement/placementDefinition.spec.ts
@@ -15,6 +15,7 @@
     state: ServerState.Ready,
     warmingMs: 0,
     startedAtWallMs: 0,
+    sequence: 1,
     revision: 1
   }
 }
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -218,7 +218,7 @@
   #sweep (): void {
     this.#executor.sweep()
     this.#crashGuard.expireQuarantines()
-    this.#publishedState.expireLapsedServers()
+    this.#publishedState.expireGraces()
     this.#peerMesh.checkLiveness()
     if (this.#isStopping) this.#continueStop()
   }
--- a/src/mesh/notices.ts
+++ b/src/mesh/notices.ts
@@ -7,6 +7,8 @@
   /** What the sender has read from the store. */
   | {
     readonly method: 'published'
+    /** Era of the store that the revisions are from. */
+    readonly era: number
     /** `changes` are complete from this revision on; a receiver whose list is older requests a snapshot. */
     readonly afterRevision: number
     /** Revision of the sender's list. */
@@ -20,12 +22,14 @@
   | {
     readonly method: 'want'
     readonly list: boolean
+    readonly era: number
     readonly afterRevision: number
     readonly configuration: boolean
   }
   /** The full server list. */
   | {
     readonly method: 'snapshot'
+    readonly era: number
     readonly revision: number
     readonly ageMs: Millis
     readonly servers: readonly ListedServer[]
@@ -64,7 +68,7 @@
 function isListedServer (value: unknown): value is ListedServer {
   return isObject(value) && ['serverId', 'serviceName', 'dataCentre', 'softwareVersion', 'ip']
     .every(name => typeof value[name] === 'string') &&
-    ['slotsCount', 'port', 'warmingMs', 'startedAtWallMs', 'revision'].every(name => isNumber(value[name])) &&
+    ['slotsCount', 'port', 'warmingMs', 'startedAtWallMs', 'sequence', 'revision'].every(name => isNumber(value[name])) &&
     (value['state'] === ServerState.Ready || value['state'] === ServerState.Draining)
 }
 
@@ -86,13 +90,13 @@
 function hasValidParams (method: string, params: JsonObject): boolean {
   switch (method) {
     case 'published':
-      return ['revision', 'afterRevision', 'ageMs', 'configurationVersion'].every(name => isNumber(params[name])) &&
+      return ['era', 'revision', 'afterRevision', 'ageMs', 'configurationVersion'].every(name => isNumber(params[name])) &&
         isListOf(params['changes'], isListedChange)
     case 'want':
       return typeof params['list'] === 'boolean' && typeof params['configuration'] === 'boolean' &&
-        isNumber(params['afterRevision'])
+        isNumber(params['era']) && isNumber(params['afterRevision'])
     case 'snapshot':
-      return isNumber(params['revision']) && isNumber(params['ageMs']) && isListOf(params['servers'], isListedServer)
+      return ['era', 'revision', 'ageMs'].every(name => isNumber(params[name])) && isListOf(params['servers'], isListedServer)
     case 'configuration': return typeof params['text'] === 'string'
     case 'leaving':
     case 'started': return typeof params['ip'] === 'string'
--- a/src/mesh/peerSyncTask.ts
+++ b/src/mesh/peerSyncTask.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationDb } from '../core/configuration/configurationDb.js'
 import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
 import { discoveryDefinition, type ListChanges } from '../core/discovery/discoveryDefinition.js'
-import type { ListedChange, ListedServer } from '../core/discovery/discoveryTypes.js'
+import type { ListedChange, ListSnapshot } from '../core/discovery/discoveryTypes.js'
 import { decodeNotice, encodeNotice, type Notice, type SuspectFingerprint } from './notices.js'
 import type { NodeLog } from './nodeLog.js'
 
@@ -21,19 +21,25 @@
   readonly sendTo: (ip: string, text: string) => void
   readonly sendToAll: (text: string) => void
   readonly onChanges: (changes: ListChanges, readAtMs: Millis) => void
-  readonly onSnapshot: (revision: number, servers: readonly ListedServer[], readAtMs: Millis) => void
+  readonly onSnapshot: (snapshot: ListSnapshot, readAtMs: Millis) => void
   readonly onConfiguration: (text: string, fromIp: string) => void
   readonly onLeaving: (ip: string) => void
   readonly onStarted: (ip: string) => void
   readonly onCrashSuspects: (fingerprints: readonly SuspectFingerprint[]) => void
 }
 
+/** How far a node knows the list. */
+interface ListPosition {
+  readonly era: number
+  readonly afterRevision: number
+}
+
 /** Exchanges the server list and configuration with other nodes: broadcasts what was read, pulls what is missing. */
 export class PeerSyncTask {
   readonly #options: PeerSyncTaskOptions
   #lastPullAtMs: Millis = -Infinity
-  /** Revisions of the nodes that want newer changes than this node has. */
-  readonly #waitingPeers = new Map<string, number>()
+  /** What the nodes know that want newer changes than this node has. */
+  readonly #waitingPeers = new Map<string, ListPosition>()
 
   constructor (options: PeerSyncTaskOptions) {
     this.#options = options
@@ -46,12 +52,11 @@
 
   /** Sends the list to the nodes that asked for newer changes than this node had. */
   answerWaitingPeers (): void {
-    const { revision } = this.#options.discovery
     if (!this.#isConfirmed) return
-    for (const [ip, afterRevision] of this.#waitingPeers) {
-      if (afterRevision >= revision) continue
+    for (const [ip, position] of this.#waitingPeers) {
+      if (!this.#isAhead(position)) continue
       this.#waitingPeers.delete(ip)
-      this.#sendList(ip, afterRevision)
+      this.#sendList(ip, position)
     }
   }
 
@@ -59,6 +64,7 @@
     const { clock, configuration, discovery } = this.#options
     return encodeNotice({
       method: 'published',
+      era: discovery.era,
       revision: discovery.revision,
       afterRevision,
       ageMs: Math.round(clock.monotonicMs() - readAtMs),
@@ -67,6 +73,11 @@
     })
   }
 
+  /** Sends the whole list to all nodes. */
+  broadcastSnapshot (): void {
+    this.#options.sendToAll(this.#encodeSnapshot())
+  }
+
   broadcastConfiguration (): void {
     const text = this.#options.configurationText()
     if (text !== '') this.#options.sendToAll(encodeNotice({ method: 'configuration', text }))
@@ -92,12 +103,12 @@
   }
 
   #handleNotice (notice: Notice, fromIp: string, hopsCount: number): void {
-    const { clock, discovery } = this.#options
+    const { clock } = this.#options
     const sentAtMs = clock.monotonicMs() - hopsCount * NOTICE_TRANSIT_MS
     switch (notice.method) {
       case 'published': return this.#handlePublished(notice, fromIp, sentAtMs)
       case 'want':
-        if (notice.list) this.#answerWant(fromIp, notice.afterRevision)
+        if (notice.list) this.#answerWant(fromIp, notice)
         if (notice.configuration) {
           this.#options.sendTo(fromIp, encodeNotice({
             method: 'configuration', text: this.#options.configurationText()
@@ -105,9 +116,7 @@
         }
         return
       case 'snapshot':
-        if (notice.revision >= discovery.revision) {
-          this.#options.onSnapshot(notice.revision, notice.servers, sentAtMs - notice.ageMs)
-        }
+        this.#options.onSnapshot(notice, sentAtMs - notice.ageMs)
         return
       case 'configuration':
         if (notice.text !== '') this.#options.onConfiguration(notice.text, fromIp)
@@ -119,40 +128,54 @@
   }
 
   /** Sends the list, or remembers that the peer wants it as soon as this node has a newer one. */
-  #answerWant (fromIp: string, afterRevision: number): void {
-    if (this.#isConfirmed && afterRevision < this.#options.discovery.revision) this.#sendList(fromIp, afterRevision)
-    else this.#waitingPeers.set(fromIp, afterRevision)
+  #answerWant (fromIp: string, { era, afterRevision }: ListPosition): void {
+    const position = { era, afterRevision }
+    if (this.#isConfirmed && this.#isAhead(position)) this.#sendList(fromIp, position)
+    else this.#waitingPeers.set(fromIp, position)
+  }
+
+  /** Whether this node's list is of a higher era than a peer's, or of the same one and a higher revision. */
+  #isAhead ({ era, afterRevision }: ListPosition): boolean {
+    const { discovery } = this.#options
+    return discovery.era === era ? discovery.revision > afterRevision : discovery.era > era
   }
 
   #handlePublished (notice: Extract<Notice, { method: 'published' }>, fromIp: string, sentAtMs: Millis): void {
     const { configuration, discovery } = this.#options
-    const lacksList = !discoveryDefinition.hasNoRevisionGap(discovery, notice)
+    const readAtMs = sentAtMs - notice.ageMs
+    const isOutdated = discoveryDefinition.isOutdated(discovery, notice, readAtMs)
+    const lacksList = !isOutdated && !discoveryDefinition.hasNoRevisionGap(discovery, notice)
     const lacksConfiguration = (configuration.current?.version ?? 0) < notice.configurationVersion
     if (lacksList || lacksConfiguration) this.#pullMissing(fromIp, lacksList, lacksConfiguration)
-    if (!lacksList) this.#options.onChanges(notice, sentAtMs - notice.ageMs)
+    if (!lacksList && !isOutdated) this.#options.onChanges(notice, readAtMs)
   }
 
   /** Requests the server list or the configuration from a peer that has newer ones. */
   #pullMissing (fromIp: string, list: boolean, configuration: boolean): void {
-    const nowMs = this.#options.clock.monotonicMs()
+    const { clock, discovery } = this.#options
+    const nowMs = clock.monotonicMs()
     if (nowMs - this.#lastPullAtMs < PULL_INTERVAL_MIN_MS) return
     this.#lastPullAtMs = nowMs
     this.#options.sendTo(fromIp, encodeNotice({
-      method: 'want', list, afterRevision: this.#options.discovery.revision, configuration
+      method: 'want', list, era: discovery.era, afterRevision: discovery.revision, configuration
     }))
   }
 
   /** Sends the changes after a revision, or the full list if they are no longer known. */
-  #sendList (ip: string, afterRevision: number): void {
-    const { clock, discovery, sendTo } = this.#options
+  #sendList (ip: string, { era, afterRevision }: ListPosition): void {
+    const { discovery, sendTo } = this.#options
     if (!this.#isConfirmed) return
-    const changes = discoveryDefinition.changesAfter(discovery, afterRevision)
+    const changes = discoveryDefinition.changesAfter(discovery, era, afterRevision)
     if (changes !== null) {
       sendTo(ip, this.#encodePublished(changes, afterRevision, discovery.newestReadAtMs))
       return
     }
-    const { revision, servers } = discoveryDefinition.currentSnapshot(discovery)
+    sendTo(ip, this.#encodeSnapshot())
+  }
+
+  #encodeSnapshot (): string {
+    const { clock, discovery } = this.#options
     const ageMs = Math.round(clock.monotonicMs() - discovery.newestReadAtMs)
-    sendTo(ip, encodeNotice({ method: 'snapshot', revision, ageMs, servers }))
+    return encodeNotice({ method: 'snapshot', ageMs, ...discoveryDefinition.currentSnapshot(discovery) })
   }
 }
--- a/src/mesh/publishedStateTask.ts
+++ b/src/mesh/publishedStateTask.ts
@@ -6,7 +6,7 @@
 import type { RandomSource } from '../core/coreTypes.js'
 import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
 import { discoveryDefinition } from '../core/discovery/discoveryDefinition.js'
-import type { ListEvent } from '../core/discovery/discoveryTypes.js'
+import { ListSource, type ListEvent, type ListSnapshot } from '../core/discovery/discoveryTypes.js'
 import { readAfterMs, watchWaitMs, type ReaderLocation } from '../core/discovery/readSchedule.js'
 import type { Fingerprint } from '../core/retry/retryTypes.js'
 import type { NodeLog } from './nodeLog.js'
@@ -40,7 +40,6 @@
   readonly #peerSync: PeerSyncTask
   readonly #refusedRevisions = new Map<string, number>()
   #configurationText = ''
-  #era: number | null = null
   #readAfterMs: Millis
 
   constructor (options: PublishedStateTaskOptions) {
@@ -56,6 +55,7 @@
       readAfterMs: () => this.#readAfterMs,
       watchWaitMs: () => watchWaitMs(clock.monotonicMs() - discovery.newestReadAtMs, discovery.servers.size),
       revision: () => discovery.revision,
+      era: () => discovery.era,
       onState: (state, readAtMs) => this.#applyState(state, readAtMs),
       onChanges: (changes, readAtMs) => this.#applyChanges(changes, readAtMs)
     })
@@ -70,9 +70,8 @@
       onChanges: (changes, readAtMs) => this.#onListUpdated(
         discoveryDefinition.applyChanges(discovery, changes, readAtMs)
       ),
-      onSnapshot: (revision, servers, readAtMs) => {
-        this.#logIfIgnored('peer', revision)
-        this.#onListUpdated(discoveryDefinition.applySnapshot(discovery, { revision, servers }, readAtMs))
+      onSnapshot: (snapshot, readAtMs) => {
+        this.#onListUpdated(this.#applySnapshot(snapshot, ListSource.Peer, readAtMs))
       },
       onConfiguration: (text, fromIp) => this.#applyPeerConfiguration(text, fromIp),
       onLeaving: options.onLeaving,
@@ -99,10 +98,13 @@
     this.#peerSync.announceTo(ip)
   }
 
-  /** Drops servers whose entries lapsed in a store outage, and tells nodes that may not have noticed the outage. */
-  expireLapsedServers (): void {
+  /**
+   * Ends the time for which lapsed entries are kept and doubtful ones held back after an outage of the store, and
+   * tells nodes that may not have noticed the outage.
+   */
+  expireGraces (): void {
     const { clock, discovery } = this.#options
-    const events = discoveryDefinition.removeLapsedServers(discovery, clock.monotonicMs())
+    const events = discoveryDefinition.expireGraces(discovery, clock.monotonicMs())
     this.#onListUpdated(events)
     if (events.length > 0) this.#broadcastUpdate(false, events, discovery.revision, discovery.newestReadAtMs)
   }
@@ -117,21 +119,23 @@
 
   #applyState (state: PublishedState, readAtMs: Millis): void {
     const { discovery } = this.#options
-    this.#logEra(state.era, state.revision)
-    this.#logIfIgnored('store', state.revision)
     this.#logRefused(state.refused)
     const isNewConfiguration = this.#applyConfiguration(state.configuration, state.configurationText, 'store')
     const afterRevision = discovery.revision
     const refusedServerIds = state.refused.map(({ serverId }) => serverId)
-    const events = discoveryDefinition.applySnapshot(discovery, state, readAtMs, refusedServerIds)
+    const eraBefore = discovery.era
+    const events = this.#applySnapshot(state, ListSource.Store, readAtMs, refusedServerIds)
     this.#onListUpdated(events)
     // What may be stale is of no use to other nodes, which may all have started at the same time.
-    if (readAtMs > -Infinity) this.#broadcastUpdate(isNewConfiguration, events, afterRevision, readAtMs)
+    if (readAtMs === -Infinity) return
+    if (eraBefore >= 0 && eraBefore !== discovery.era) {
+      if (isNewConfiguration) this.#peerSync.broadcastConfiguration()
+      this.#peerSync.broadcastSnapshot()
+    } else this.#broadcastUpdate(isNewConfiguration, events, afterRevision, readAtMs)
   }
 
   #applyChanges (changes: PublishedChanges, readAtMs: Millis): void {
     const { discovery } = this.#options
-    this.#logEra(changes.era, changes.revision)
     this.#logRefused(changes.refused)
     const isNewConfiguration = this.#applyConfiguration(changes.configuration, changes.configurationText, 'store')
     const afterRevision = discovery.revision
@@ -172,18 +176,21 @@
     return true
   }
 
-  #logEra (era: number, revision: number): void {
-    if (era === this.#era) return
-    this.#options.log.event('store_era', {
-      era, before: this.#era ?? 'none', revision, known_revision: this.#options.discovery.revision
-    })
-    this.#era = era
-  }
-
-  #logIfIgnored (source: string, revision: number): void {
-    const knownRevision = this.#options.discovery.revision
-    if (revision >= knownRevision) return
-    this.#options.log.event('list_copy_ignored', { source, revision, known_revision: knownRevision })
+  #applySnapshot (
+    snapshot: ListSnapshot, source: ListSource, readAtMs: Millis, keptIds: readonly string[] = []
+  ): ListEvent[] {
+    const { discovery, log } = this.#options
+    const before = { era: discovery.era, revision: discovery.revision }
+    const events = discoveryDefinition.applySnapshot(discovery, snapshot, source, readAtMs, keptIds)
+    const fields = {
+      source, era: snapshot.era, before: before.era, revision: snapshot.revision, known_revision: before.revision
+    }
+    if (discovery.era !== snapshot.era || discovery.revision > snapshot.revision) log.event('list_copy_ignored', fields)
+    else if (before.era !== snapshot.era) {
+      this.#refusedRevisions.clear()
+      log.event('store_era', { ...fields, held_back: discovery.heldBack.size, lapsed: discovery.lapsedKeptUntilMs.size })
+    }
+    return events
   }
 
   #logRefused (refused: readonly RefusedValue[]): void {
--- a/src/mesh/storeTask.spec.ts
+++ b/src/mesh/storeTask.spec.ts
@@ -42,6 +42,7 @@
     readAfterMs: () => readAfterMs,
     watchWaitMs: () => 500,
     revision: () => log.length === 0 ? -1 : 5,
+    era: () => 1,
     onState: () => {},
     onChanges: () => {}
   })
@@ -92,6 +93,7 @@
       readAfterMs: () => readAfterMs,
       watchWaitMs: () => watchWaitMs(systemClock.monotonicMs() - freshAtMs, 3),
       revision: () => revision,
+      era: () => 1,
       onState: (state, readAtMs) => {
         revision = state.revision
         freshAtMs = Math.max(freshAtMs, readAtMs)
--- a/src/mesh/storeTask.ts
+++ b/src/mesh/storeTask.ts
@@ -24,6 +24,8 @@
   readonly watchWaitMs: () => Millis
   /** Revision of the known list, or negative if none is known. */
   readonly revision: () => number
+  /** Era of the known list. */
+  readonly era: () => number
   /** `readAtMs` is negative infinity for a read that may be stale. */
   readonly onState: (state: PublishedState, readAtMs: Millis) => void
   readonly onChanges: (changes: PublishedChanges, readAtMs: Millis) => void
@@ -109,6 +111,9 @@
     return result.caseOf<StoreFailure | null>({
       Left: failure => failure,
       Right: changes => {
+        if (changes.era !== this.#options.era()) {
+          return { kind: StoreFailureKind.HistoryGone, detail: `era ${changes.era} of the store` }
+        }
         // The answer has all changes until it was sent, at the end of the wait at the latest. A process that was
         // paused reads the answer later, so the time of reading would make the list look too fresh.
         this.#isStale = false
