Tell a node whose server has left the list, wherever it is in the trees

Cause: since notices travel along trees, the others close their links to a node as soon as its server leaves, before they send what they have learned. The node connects to them only once it knows that it has no place any more, so a leaf of its trees never learns. Whether a node is one depends on a hash of its address. Change: links to nodes that leave the list are kept for 5 s, and notices are sent over them too.

--- a/src/mesh/peerMesh.ts
+++ b/src/mesh/peerMesh.ts
@@ -1,9 +1,14 @@
-import type { Clock } from '../clock/clock.js'
+import type { Clock, Millis } from '../clock/clock.js'
 import type { Hello, SpreadCopy } from './frames.js'
 import type { DispatchedCall, DispatchHandle, DispatchListener } from './meshTypes.js'
 import type { NodeLog } from './nodeLog.js'
 import { PeerLink } from './peerLink.js'
 
+/**
+ * How long a link to a node is kept after its server has left the list. The node may not know that and has to be told.
+ */
+const UNLISTED_KEPT_MS: Millis = 5_000
+
 export interface PeerMeshOptions {
   readonly ownIp: string
   readonly peerPort: number
@@ -21,6 +26,8 @@
 export class PeerMesh {
   readonly #options: PeerMeshOptions
   readonly #links = new Map<string, PeerLink>()
+  /** Since when the nodes of links have not been listed. */
+  readonly #unlistedSinceMs = new Map<string, Millis>()
   #lastCallNumber = 0
 
   constructor (options: PeerMeshOptions) {
@@ -39,23 +46,43 @@
     return this.#links.get(ip)?.isUnresponsive !== true
   }
 
-  /** Checks all links for unresponsive peers. */
+  /** Checks all links for unresponsive peers, and closes those to nodes that are no longer listed. */
   checkLiveness (): void {
     for (const link of this.#links.values()) link.checkLiveness()
+    if (this.#unlistedSinceMs.size > 0) this.#closeUnlisted()
   }
 
   dispatch (ip: string, call: DispatchedCall, listener: DispatchListener): DispatchHandle {
     return this.#getOrCreateLink(ip).dispatch(call, listener)
   }
 
-  /** Keeps links to the neighbours open, and closes those to nodes that are not listed and have no open call. */
+  /** Keeps links to the neighbours open, and those to nodes that are not listed for some time only. */
   syncLinks (listedIps: ReadonlySet<string>, neighbourIps: ReadonlySet<string>): void {
     for (const ip of neighbourIps) if (ip !== this.#options.ownIp) this.#getOrCreateLink(ip)
+    const nowMs = this.#options.clock.monotonicMs()
     for (const [ip, link] of this.#links) {
       link.setPermanent(neighbourIps.has(ip))
-      if (listedIps.has(ip) || neighbourIps.has(ip) || link.outstandingCount > 0) continue
+      if (listedIps.has(ip) || neighbourIps.has(ip)) this.#unlistedSinceMs.delete(ip)
+      else if (!this.#unlistedSinceMs.has(ip)) this.#unlistedSinceMs.set(ip, nowMs)
+    }
+  }
+
+  #closeUnlisted (): void {
+    const nowMs = this.#options.clock.monotonicMs()
+    for (const [ip, sinceMs] of this.#unlistedSinceMs) {
+      const link = this.#links.get(ip)
+      if (nowMs - sinceMs < UNLISTED_KEPT_MS || (link !== undefined && link.outstandingCount > 0)) continue
+      this.#unlistedSinceMs.delete(ip)
       this.#links.delete(ip)
-      link.close()
+      link?.close()
+    }
+  }
+
+  /** Sends a notice over the open links to nodes that are no longer listed. */
+  sendToUnlisted (text: string): void {
+    for (const ip of this.#unlistedSinceMs.keys()) {
+      const link = this.#links.get(ip)
+      if (link?.isOpen === true) link.sendNotice(text)
     }
   }
 
--- a/src/mesh/spreadTask.ts
+++ b/src/mesh/spreadTask.ts
@@ -64,8 +64,12 @@
     }
   }
 
-  /** Nodes without a listed backend server have no place in the trees and connect to some of the others. */
+  /**
+   * Nodes without a listed backend server have no place in the trees. They connect to some of the others once they
+   * know; until then, they are told by the nodes whose neighbours they were.
+   */
   #sendToUnlisted (text: string): void {
+    this.#options.peerMesh().sendToUnlisted(text)
     this.#options.peerServer().sendToUnreached(text, ip => spreadDefinition.isMember(this.#db, ip))
   }
 }
