Tell a node that has just started which requests are quarantined

Callers and servers: a request that crashes servers is refused after two or three crashes; each node that starts again afterwards runs it once more and loses its server (meshNode.spec: two more crashes after a restart of two nodes). Cause: quarantines are spread when crashes happen and kept in memory only. Change: whoever connects to a node, or is connected to by one, sends it the quarantined requests with the time left. The gauges move to a file of their own.

--- a/src/mesh/crashGuard.ts
+++ b/src/mesh/crashGuard.ts
@@ -8,6 +8,11 @@
 /** Calls whose connections broke within this time before a connect failed count as running at the crash. */
 const CRASH_SUSPECT_WINDOW_MS: Millis = 400
 
+/** A quarantined request and how much longer it is. */
+export interface QuarantineHint extends Fingerprint {
+  readonly forMs: Millis
+}
+
 interface BrokenCall {
   readonly call: DispatchedCall
   readonly brokenAtMs: Millis
@@ -75,6 +80,22 @@
     }
   }
 
+  /** Quarantined requests with the time left, for a node that has just started and does not know them. */
+  listQuarantined (): QuarantineHint[] {
+    const nowMs = this.#options.clock.monotonicMs()
+    return retryDefinition.listQuarantined(this.#retryDb, nowMs).map(({ fingerprint, untilMs }) => {
+      return { ...fingerprint, forMs: Math.round(untilMs - nowMs) }
+    })
+  }
+
+  /** Quarantines requests that another node has in quarantine. */
+  addHints (hints: readonly QuarantineHint[]): void {
+    const nowMs = this.#options.clock.monotonicMs()
+    for (const { forMs, ...fingerprint } of hints) {
+      retryDefinition.addQuarantineHint(this.#retryDb, fingerprint, forMs, nowMs)
+    }
+  }
+
   expireQuarantines (): void {
     retryDefinition.tick(this.#retryDb, this.#options.clock.monotonicMs())
   }
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -17,6 +17,7 @@
 import type { Hello } from './frames.js'
 import type { MeshNodeOptions } from './meshNodeTypes.js'
 import type { DispatchedCall, DispatchHandle, DispatchListener } from './meshTypes.js'
+import { registerNodeGauges } from './nodeGauges.js'
 import { NodeMetrics } from './nodeMetrics.js'
 import { encodeNotice } from './notices.js'
 import { PeerMesh } from './peerMesh.js'
@@ -147,7 +148,7 @@
       onSpreadCopy: (copy, fromIp) => this.#spreadTask.receive(copy, fromIp),
       onPeerConnected: hello => {
         this.#peerMesh.connectWithoutDelay(hello.ip)
-        this.#publishedState.announceTo(hello.ip)
+        this.#announceTo(hello.ip)
       }
     })
     this.#readyServer = createAdminServer({
@@ -167,7 +168,15 @@
         clock,
         answer: () => ({ statusCode: 200, text: this.#metrics.renderText() })
       })
-    this.#registerGauges()
+    registerNodeGauges(this.#metrics, {
+      clock,
+      configuration: this.#configuration,
+      discovery: this.#discovery,
+      slots: this.#slots,
+      openLinksCount: () => this.#peerMesh.openLinksCount,
+      openRequestsCount: () => this.#entryTask.openCount,
+      callerConnectionsCount: () => this.#callerServer.connectionsCount
+    })
     this.#publishedState = new PublishedStateTask({
       clock,
       random,
@@ -176,15 +185,13 @@
       ownLocation: { ip: settings.ip, dataCentre: settings.dataCentre },
       configuration: this.#configuration,
       discovery: this.#discovery,
-      // There may be no outgoing link to a node that has connected, so its incoming connection is preferred.
-      sendTo: (ip, text) => {
-        if (!this.#peerServer.sendNotice(ip, text)) this.#peerMesh.sendNotice(ip, text)
-      },
+      sendTo: (ip, text) => this.#sendTo(ip, text),
       sendToAll: text => this.#spreadTask.publish(text),
       onListEvents: events => this.#applyListEvents(events),
       onLeaving: ip => this.#markLeaving(ip),
       onStarted: ip => this.#clearLeaving(ip),
-      onCrashSuspects: fingerprints => this.#crashGuard.recordCrash(fingerprints)
+      onCrashSuspects: fingerprints => this.#crashGuard.recordCrash(fingerprints),
+      onQuarantined: hints => this.#crashGuard.addHints(hints)
     })
   }
 
@@ -271,25 +278,6 @@
     }
   }
 
-  #registerGauges (): void {
-    const { clock } = this.#options
-    const gauges: Readonly<Record<string, () => number>> = {
-      configuration_version: () => this.configurationVersion,
-      list_revision: () => this.#discovery.revision,
-      list_age_ms: () => Math.round(clock.monotonicMs() - this.#discovery.newestReadAtMs),
-      servers_listed: () => this.#discovery.servers.size,
-      peer_links: () => this.#peerMesh.openLinksCount,
-      requests_open: () => this.#entryTask.openCount,
-      caller_connections: () => this.#callerServer.connectionsCount,
-      backend_running: () => this.#slots.runningCount,
-      backend_queued: () => this.#slots.queue.length,
-      backend_rate_limit_per_s: () => this.#slots.rateLimit.limitPerS ?? NaN,
-      backend_slots_used_limit: () => this.#executor.createReport().load.limitCount,
-      resident_bytes: () => process.memoryUsage.rss()
-    }
-    for (const [name, read] of Object.entries(gauges)) this.#metrics.registerGauge(name, read)
-  }
-
   #createBackendPool (): ExchangePool {
     const { settings, clock } = this.#options
     return new ExchangePool({
@@ -333,7 +321,19 @@
       this.#clearLeaving(ip)
       this.#spreadTask.publish(encodeNotice({ method: 'started', ip }))
     }
+    this.#announceTo(ip)
+  }
+
+  /** Tells a node that has just connected what its process cannot know if it has just started. */
+  #announceTo (ip: string): void {
     this.#publishedState.announceTo(ip)
+    const hints = this.#crashGuard.listQuarantined()
+    if (hints.length > 0) this.#sendTo(ip, encodeNotice({ method: 'quarantined', hints }))
+  }
+
+  /** Sends a notice. There may be no link to a node that has connected, so its incoming connection is preferred. */
+  #sendTo (ip: string, text: string): void {
+    if (!this.#peerServer.sendNotice(ip, text)) this.#peerMesh.sendNotice(ip, text)
   }
 
   #isMarkedLeaving (ip: string): boolean {
--- /dev/null
+++ b/src/mesh/nodeGauges.ts
@@ -0,0 +1,43 @@
+import type { Clock } from '../clock/clock.js'
+import type { ConfigurationDb } from '../core/configuration/configurationDb.js'
+import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
+import type { SlotsDb } from '../core/slots/slotsDb.js'
+import { slotsDefinition } from '../core/slots/slotsDefinition.js'
+import type { NodeMetrics } from './nodeMetrics.js'
+
+/** State of a node that its gauges show. */
+export interface GaugeSources {
+  readonly clock: Clock
+  readonly configuration: ConfigurationDb
+  readonly discovery: DiscoveryDb
+  readonly slots: SlotsDb
+  readonly openLinksCount: () => number
+  readonly openRequestsCount: () => number
+  readonly callerConnectionsCount: () => number
+}
+
+/**
+ * Registers the gauges of a node, which are read when its metrics are rendered.
+ *
+ * @example
+ * registerNodeGauges(metrics, { clock, configuration, discovery, slots, ...counts })
+ */
+export function registerNodeGauges (metrics: NodeMetrics, sources: GaugeSources): void {
+  const { clock, configuration, discovery, slots } = sources
+  const gauges: Readonly<Record<string, () => number>> = {
+    configuration_version: () => configuration.current?.version ?? 0,
+    list_era: () => discovery.era,
+    list_revision: () => discovery.revision,
+    list_age_ms: () => Math.round(clock.monotonicMs() - discovery.newestReadAtMs),
+    servers_listed: () => discovery.servers.size,
+    peer_links: sources.openLinksCount,
+    requests_open: sources.openRequestsCount,
+    caller_connections: sources.callerConnectionsCount,
+    backend_running: () => slots.runningCount,
+    backend_queued: () => slots.queue.length,
+    backend_rate_limit_per_s: () => slots.rateLimit.limitPerS ?? NaN,
+    backend_slots_used_limit: () => slotsDefinition.getLoadReport(slots).limitCount,
+    resident_bytes: () => process.memoryUsage.rss()
+  }
+  for (const [name, read] of Object.entries(gauges)) metrics.registerGauge(name, read)
+}
--- a/src/mesh/notices.ts
+++ b/src/mesh/notices.ts
@@ -1,5 +1,6 @@
 import { Left, Right, type Either } from 'purify-ts'
 import { ServerState, type ListedChange, type ListedServer } from '../core/discovery/discoveryTypes.js'
+import type { QuarantineHint } from './crashGuard.js'
 import type { Millis } from '../clock/clock.js'
 
 /** Messages between nodes besides calls, sent as JSON-RPC 2.0 notifications. */
@@ -43,6 +44,9 @@
   /** These requests were running when a backend server crashed. */
   | { readonly method: 'crash_suspects', readonly fingerprints: readonly SuspectFingerprint[] }
 
+  /** These requests are quarantined, because they crashed backend servers. */
+  | { readonly method: 'quarantined', readonly hints: readonly QuarantineHint[] }
+
 export interface SuspectFingerprint {
   readonly serviceName: string
   readonly routeName: string
@@ -83,6 +87,10 @@
     isNumber(value['bodyHash'])
 }
 
+function isQuarantineHint (value: unknown): value is QuarantineHint {
+  return isFingerprint(value) && isNumber((value as unknown as JsonObject)['forMs'])
+}
+
 function isListOf<T> (value: unknown, isElement: (element: unknown) => element is T): value is T[] {
   return Array.isArray(value) && value.every(isElement)
 }
@@ -101,6 +109,7 @@
     case 'leaving':
     case 'started': return typeof params['ip'] === 'string'
     case 'crash_suspects': return isListOf(params['fingerprints'], isFingerprint)
+    case 'quarantined': return isListOf(params['hints'], isQuarantineHint)
     default: return false
   }
 }
--- a/src/mesh/peerSyncTask.ts
+++ b/src/mesh/peerSyncTask.ts
@@ -3,6 +3,7 @@
 import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
 import { discoveryDefinition, type ListChanges } from '../core/discovery/discoveryDefinition.js'
 import type { ListedChange, ListSnapshot } from '../core/discovery/discoveryTypes.js'
+import type { QuarantineHint } from './crashGuard.js'
 import { decodeNotice, encodeNotice, type Notice, type SuspectFingerprint } from './notices.js'
 import type { NodeLog } from './nodeLog.js'
 
@@ -26,6 +27,7 @@
   readonly onLeaving: (ip: string) => void
   readonly onStarted: (ip: string) => void
   readonly onCrashSuspects: (fingerprints: readonly SuspectFingerprint[]) => void
+  readonly onQuarantined: (hints: readonly QuarantineHint[]) => void
 }
 
 /** How far a node knows the list. */
@@ -123,6 +125,7 @@
         return
       case 'leaving': return this.#options.onLeaving(notice.ip)
       case 'started': return this.#options.onStarted(notice.ip)
+      case 'quarantined': return this.#options.onQuarantined(notice.hints)
       case 'crash_suspects': return this.#options.onCrashSuspects(notice.fingerprints)
     }
   }
--- a/src/mesh/publishedStateTask.ts
+++ b/src/mesh/publishedStateTask.ts
@@ -9,6 +9,7 @@
 import { ListSource, type ListEvent, type ListSnapshot } from '../core/discovery/discoveryTypes.js'
 import { readAfterMs, watchWaitMs, type ReaderLocation } from '../core/discovery/readSchedule.js'
 import type { Fingerprint } from '../core/retry/retryTypes.js'
+import type { QuarantineHint } from './crashGuard.js'
 import type { NodeLog } from './nodeLog.js'
 import type { PlatformStore, PublishedChanges, PublishedState, RefusedValue } from './platformStore.js'
 import { PeerSyncTask } from './peerSyncTask.js'
@@ -31,6 +32,7 @@
   readonly onLeaving: (ip: string) => void
   readonly onStarted: (ip: string) => void
   readonly onCrashSuspects: (fingerprints: readonly Fingerprint[]) => void
+  readonly onQuarantined: (hints: readonly QuarantineHint[]) => void
 }
 
 /** Keeps the server list and configuration up to date, from the store if this node is the reader, else from peers. */
@@ -76,7 +78,8 @@
       onConfiguration: (text, fromIp) => this.#applyPeerConfiguration(text, fromIp),
       onLeaving: options.onLeaving,
       onStarted: options.onStarted,
-      onCrashSuspects: fingerprints => options.onCrashSuspects(fingerprints)
+      onCrashSuspects: fingerprints => options.onCrashSuspects(fingerprints),
+      onQuarantined: options.onQuarantined
     })
   }
 
