--- a/src/core/discovery/discoveryDefinition.spec.ts
+++ b/src/core/discovery/discoveryDefinition.spec.ts
@@ -1,27 +1,14 @@
 import type { Millis } from '../../clock/clock.js'
+import { createListedServer } from '../../testing/listedServers.js'
 import type { DiscoveryDb } from './discoveryDb.js'
 import { discoveryDefinition as discovery, type ListChanges } from './discoveryDefinition.js'
 import {
-  ListSource, ServerState, type ListedChange, type ListedServer, type ListEvent, type ListSnapshot
+  ListSource, type ListedChange, type ListedServer, type ListEvent, type ListSnapshot
 } from './discoveryTypes.js'
 import { readAfterMs, READ_PERIOD_MS, watchWaitMs } from './readSchedule.js'
 
 function server (serverId: string, revision: number, change: Partial<ListedServer> = {}): ListedServer {
-  return {
-    serverId,
-    serviceName: 'depot',
-    dataCentre: 'tartu',
-    softwareVersion: 'v1',
-    slotsCount: 10,
-    ip: `10.0.0.${serverId}`,
-    port: 80,
-    state: ServerState.Ready,
-    warmingMs: 0,
-    startedAtWallMs: 0,
-    sequence: 1,
-    revision,
-    ...change
-  }
+  return createListedServer({ serverId, revision, ...change })
 }
 
 /** Changes up to a revision, without a gap after any known revision. */
--- a/src/core/discovery/discoveryEras.spec.ts
+++ b/src/core/discovery/discoveryEras.spec.ts
@@ -1,4 +1,5 @@
 import type { Millis } from '../../clock/clock.js'
+import { createListedServer } from '../../testing/listedServers.js'
 import type { DiscoveryDb } from './discoveryDb.js'
 import { discoveryDefinition as discovery } from './discoveryDefinition.js'
 import { ListSource, ServerState, type ListedServer, type ListEvent } from './discoveryTypes.js'
@@ -6,21 +7,7 @@
 function server (
   serverId: string, revision: number, sequence: number, change: Partial<ListedServer> = {}
 ): ListedServer {
-  return {
-    serverId,
-    serviceName: 'depot',
-    dataCentre: 'tartu',
-    softwareVersion: 'v1',
-    slotsCount: 10,
-    ip: `10.0.0.${serverId}`,
-    port: 80,
-    state: ServerState.Ready,
-    warmingMs: 0,
-    startedAtWallMs: 1_000,
-    sequence,
-    revision,
-    ...change
-  }
+  return createListedServer({ serverId, revision, sequence, startedAtWallMs: 1_000, ...change })
 }
 
 const DRAINING = { state: ServerState.Draining }
--- a/src/core/discovery/discoveryFleet.spec.ts
+++ b/src/core/discovery/discoveryFleet.spec.ts
@@ -1,5 +1,6 @@
 import type { Millis } from '../../clock/clock.js'
 import { seededRandom } from '../../standins/randomNumbers.js'
+import { createListedServer } from '../../testing/listedServers.js'
 import type { RandomSource } from '../coreTypes.js'
 import type { DiscoveryDb } from './discoveryDb.js'
 import { discoveryDefinition as discovery, type ListChanges } from './discoveryDefinition.js'
@@ -106,20 +107,9 @@
 
   #startServer (serverId: string, number: number): void {
     this.#lastWallMs += 1
-    const entry: ListedServer = {
-      serverId,
-      serviceName: 'depot',
-      dataCentre: 'tartu',
-      softwareVersion: 'v1',
-      slotsCount: 10,
-      ip: `10.0.0.${number}`,
-      port: 80,
-      state: ServerState.Ready,
-      warmingMs: 0,
-      startedAtWallMs: this.#lastWallMs,
-      sequence: 1,
-      revision: 0
-    }
+    const entry = createListedServer({
+      serverId, ip: `10.0.0.${number}`, startedAtWallMs: this.#lastWallMs, revision: 0
+    })
     const known = this.#servers[number - 1]
     if (known === undefined) this.#servers.push({ entry, isAlive: true, writesAtMs: 0 })
     else Object.assign(known, { entry, isAlive: true, writesAtMs: 0 })
--- a/src/core/discovery/discoveryTypes.ts
+++ b/src/core/discovery/discoveryTypes.ts
@@ -26,6 +26,9 @@
   readonly revision: number
 }
 
+/** Identity of one start of a backend server. */
+export type Incarnation = Pick<ListedServer, 'serverId' | 'startedAtWallMs'>
+
 /** A change of one entry in the platform's store. */
 export type ListedChange =
   | { readonly kind: 'written', readonly server: ListedServer }
--- a/src/core/placement/placementDb.ts
+++ b/src/core/placement/placementDb.ts
@@ -1,4 +1,4 @@
-import type { ListedServer } from '../discovery/discoveryTypes.js'
+import type { Incarnation, ListedServer } from '../discovery/discoveryTypes.js'
 import type { PlacementSettings, ServerView } from './placementTypes.js'
 
 export interface PlacementDb {
@@ -16,14 +16,12 @@
 /** Number of servers of which signals are remembered. */
 const SIGNALS_MAX_COUNT = 5_000
 
-function incarnationKey ({ serverId, startedAtWallMs }: Pick<ListedServer, 'serverId' | 'startedAtWallMs'>): string {
+function incarnationKey ({ serverId, startedAtWallMs }: Incarnation): string {
   return `${serverId}@${startedAtWallMs}`
 }
 
 /** Remembers the limit of a server, or that it has none. */
-export function setLimit (
-  db: PlacementDb, server: Pick<ListedServer, 'serverId' | 'startedAtWallMs'>, limitPerS: number | null
-): void {
+export function setLimit (db: PlacementDb, server: Incarnation, limitPerS: number | null): void {
   const key = incarnationKey(server)
   db.limitsPerS.delete(key)
   if (limitPerS === null) return
@@ -32,9 +30,7 @@
 }
 
 /** Marks a server that leaves. The mark holds for its incarnation, whatever the list says later. */
-export function markDeparting (
-  db: PlacementDb, server: Pick<ListedServer, 'serverId' | 'startedAtWallMs'>
-): void {
+export function markDeparting (db: PlacementDb, server: Incarnation): void {
   db.departing.add(incarnationKey(server))
   if (db.departing.size > SIGNALS_MAX_COUNT) db.departing.delete(db.departing.values().next().value!)
 }
--- a/src/core/placement/placementDefinition.spec.ts
+++ b/src/core/placement/placementDefinition.spec.ts
@@ -1,23 +1,11 @@
 import { ServerState, type ListedServer } from '../discovery/discoveryTypes.js'
+import { createListedServer } from '../../testing/listedServers.js'
 import type { PlacementDb } from './placementDb.js'
 import { placementDefinition as placement } from './placementDefinition.js'
 import { SendOutcome } from './placementTypes.js'
 
 function server (serverId: string, dataCentre = 'tartu'): ListedServer {
-  return {
-    serverId,
-    serviceName: 'depot',
-    dataCentre,
-    softwareVersion: 'v1',
-    slotsCount: 10,
-    ip: `10.0.0.${serverId}`,
-    port: 80,
-    state: ServerState.Ready,
-    warmingMs: 0,
-    startedAtWallMs: 0,
-    sequence: 1,
-    revision: 1
-  }
+  return createListedServer({ serverId, dataCentre })
 }
 
 function createPlacement (): PlacementDb {
