--- a/src/core/discovery/discoveryDb.ts
+++ b/src/core/discovery/discoveryDb.ts
@@ -9,8 +9,14 @@
   readonly sequence: number
 }
 
+export interface DiscoverySettings {
+  /** Interval at which backend servers renew their entries in the store. */
+  readonly heartbeatPeriodMs: Millis
+}
+
 /** State of the discovery module: the server list as known at this node, with indexes. */
 export interface DiscoveryDb {
+  readonly settings: DiscoverySettings
   readonly servers: Map<string, ListedServer>
   byService: Map<string, ListedServer[]>
   /** Latest incarnation at each `ip:port`. */
@@ -100,8 +106,9 @@
 }
 
 /** Creates the state of a node that has not read the list yet. */
-export function createDiscoveryDb (): DiscoveryDb {
+export function createDiscoveryDb (settings: DiscoverySettings): DiscoveryDb {
   return {
+    settings,
     servers: new Map(),
     byService: new Map(),
     byAddress: new Map(),
--- a/src/core/discovery/discoveryDefinition.spec.ts
+++ b/src/core/discovery/discoveryDefinition.spec.ts
@@ -30,14 +30,14 @@
 
 describe('discovery', () => {
   test('heartbeats alone cause no events', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 5, servers: [server('1', 3)] }, 0)
     const events = discovery.applyChanges(db, contiguousChanges(6, [{ kind: 'written', server: server('1', 6) }]), 100)
     expect({ events, revision: db.revision }).toEqual({ events: [], revision: 6 })
   })
 
   test('changes after a gap in the revisions are not applied, so that no change in the gap is lost', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
     const later = { era: 1, afterRevision: 8, revision: 9, changes: [{ kind: 'written' as const, server: server('3', 9) }] }
     expect(discovery.hasNoRevisionGap(db, later)).toBe(false)
@@ -48,7 +48,7 @@
   })
 
   test('a node that removed lapsed servers after a network partition applies later changes from its peers', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
     applyRead(db, { revision: 9, servers: [server('2', 4)] }, 9_000)
     expect(describeEvents(discovery.expireGraces(db, 12_000))).toEqual(['left 1'])
@@ -57,7 +57,7 @@
   })
 
   test('an older copy from a peer neither restores a removed server nor removes a newer one', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
     discovery.applyChanges(db, contiguousChanges(7, [{ kind: 'removed', serverId: '1', revision: 7 }]), 100)
     expect(describeEvents(applyRead(db, { revision: 6, servers: [server('1', 3)] }, 200))).toEqual([])
@@ -66,7 +66,7 @@
   })
 
   test('the later incarnation at an address is used, before and after the old entry expires', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     const old = server('1', 3, { ip: '10.0.0.9' })
     const next = server('2', 8, { ip: '10.0.0.9' })
     applyRead(db, { revision: 8, servers: [next, old] }, 0)
@@ -77,7 +77,7 @@
   })
 
   test('start times decide between incarnations if both entries have one', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     const late = server('1', 3, { ip: '10.0.0.9', startedAtWallMs: 2_000 })
     const early = server('2', 8, { ip: '10.0.0.9', startedAtWallMs: 1_000 })
     applyRead(db, { revision: 8, servers: [late, early] }, 0)
@@ -85,7 +85,7 @@
   })
 
   test('servers whose entries lapsed during an outage of the store are kept for a grace period, then removed', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
     expect(describeEvents(applyRead(db, { revision: 9, servers: [server('1', 3)] }, 6_000))).toEqual([])
     expect(discovery.serversOf(db, 'depot')).toHaveLength(2)
@@ -94,7 +94,7 @@
   })
 
   test('a lapsed entry that is written again no longer counts as lapsed, so a later removal takes effect at once', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 5, servers: [server('1', 3)] }, 0)
     applyRead(db, { revision: 9, servers: [] }, 6_000)
     discovery.applyChanges(db, contiguousChanges(10, [{ kind: 'written', server: server('1', 10) }]), 7_000)
@@ -103,13 +103,13 @@
   })
 
   test('a removal without an outage takes effect at once', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 5, servers: [server('1', 3)] }, 0)
     expect(describeEvents(discovery.applyChanges(db, contiguousChanges(6, [{ kind: 'removed', serverId: '1', revision: 6 }]), 600))).toEqual(['left 1'])
   })
 
   test('a server whose entry can no longer be decoded is kept as it was known', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 5, servers: [server('1', 3)] }, 0)
     expect(describeEvents(applyRead(db, { revision: 9, servers: [] }, 100, ['1']))).toEqual([])
   })
@@ -146,7 +146,7 @@
 
 describe('changes for nodes that lag behind', () => {
   test('are complete from the last full copy on', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 10, servers: [server('a', 4), server('b', 7)] }, 0)
     const written: ListedChange = { kind: 'written', server: server('c', 12) }
     const removed: ListedChange = { kind: 'removed', serverId: 'a', revision: 14 }
@@ -159,7 +159,7 @@
   })
 
   test('are dropped from the oldest on', () => {
-    const db = discovery.createDb()
+    const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 1, servers: [] }, 0)
     for (let revision = 2; revision < 302; revision++) {
       const change = { kind: 'written' as const, server: server(`s${revision}`, revision) }
--- a/src/core/discovery/discoveryDefinition.ts
+++ b/src/core/discovery/discoveryDefinition.ts
@@ -1,7 +1,7 @@
 import type { Millis } from '../../clock/clock.js'
 import {
   beginEra, clearDiscoveryDb, createDiscoveryDb, rebuildIndexes, recordRecentChanges, recordRemoval,
-  restartRecentChanges, revisionOf, type DiscoveryDb
+  restartRecentChanges, revisionOf, type DiscoveryDb, type DiscoverySettings
 } from './discoveryDb.js'
 import {
   affectsRouting, beginsEra, hasComparableCounts, isFirstReadAfterOutage, isOtherIncarnation, isReportedBefore
@@ -10,6 +10,8 @@
   ListSource, ServerState, type ListedChange, type ListedServer, type ListEvent, type ListSnapshot
 } from './discoveryTypes.js'
 
+export const discoveryDefaults: DiscoverySettings = { heartbeatPeriodMs: 1_500 }
+
 const NO_SERVERS: readonly ListedServer[] = []
 /**
  * How long servers whose entries lapsed during an outage of the store are still
@@ -17,11 +19,9 @@
  * return.
  */
 const LAPSE_GRACE_MS: Millis = 2_300
-/**
- * How long an entry does not count that was removed before the store came back from a copy that still contains it.
- * The store removes it again within three heartbeats if its server is gone.
- */
-const HELD_BACK_MS: Millis = 6_000
+/** Heartbeats after whose loss the store removes an entry. */
+const HEARTBEATS_LOST_COUNT = 3
+const HELD_BACK_MARGIN_MS: Millis = 1_500
 
 function toListEvent (before: ListedServer | undefined, after: ListedServer): ListEvent {
   if (before === undefined) return { kind: 'joined', server: after }
@@ -53,6 +53,14 @@
   return before.revision > server.revision
 }
 
+/**
+ * How long an entry does not count that was removed before the store came back from a copy that still contains it.
+ * Within this time the store removes it again if its server is gone.
+ */
+function heldBackMs (db: DiscoveryDb): Millis {
+  return db.settings.heartbeatPeriodMs * HEARTBEATS_LOST_COUNT + HELD_BACK_MARGIN_MS
+}
+
 /**
  * Whether an entry that is not known has been removed. One that was removed in an earlier era and may be from the copy
  * is held back: its server may be gone, or may only have been silent for a while.
@@ -61,7 +69,7 @@
   const removal = db.removals.get(server.serverId)
   if (removal === undefined || server.revision > removal.revision) return false
   if (removal.revision !== db.copyRevision) return true
-  const untilMs = db.heldBack.get(server.serverId)?.untilMs ?? db.eraReadAtMs + HELD_BACK_MS
+  const untilMs = db.heldBack.get(server.serverId)?.untilMs ?? db.eraReadAtMs + heldBackMs(db)
   if (isReportedBefore(removal, server) || readAtMs >= untilMs) return false
   db.heldBack.set(server.serverId, { server, untilMs })
   return true
@@ -239,6 +247,7 @@
 
 /** Discovery: the platform's list of backend servers as known at this node. */
 export const discoveryDefinition = {
+  defaults: discoveryDefaults,
   createDb: createDiscoveryDb,
   clear: clearDiscoveryDb,
   applySnapshot,
--- a/src/core/discovery/discoveryFleet.spec.ts
+++ b/src/core/discovery/discoveryFleet.spec.ts
@@ -85,7 +85,7 @@
 }
 
 class SimulatedNode {
-  db: DiscoveryDb = discovery.createDb()
+  db: DiscoveryDb = discovery.createDb(discovery.defaults)
   nextReadAtMs: Millis = 0
   /** Incarnations that this process has known as draining. */
   readonly drained = new Set<string>()
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -53,7 +53,7 @@
   readonly #options: MeshNodeOptions
   readonly #hello: Hello
   readonly #configuration = configurationDefinition.createDb()
-  readonly #discovery = discoveryDefinition.createDb()
+  readonly #discovery
   readonly #chainAdmission = chainAdmissionDefinition.createDb(chainAdmissionDefinition.defaults)
   readonly #slots = slotsDefinition.createDb(slotsDefinition.defaults)
   readonly #placement
@@ -82,6 +82,7 @@
       dataCentre: settings.dataCentre,
       serviceName: settings.serviceName
     }
+    this.#discovery = discoveryDefinition.createDb({ heartbeatPeriodMs: settings.heartbeatPeriodMs })
     this.#placement = placementDefinition.createDb({
       ownDataCentre: settings.dataCentre, ownIp: settings.ip, remotePenaltyRatio: REMOTE_PENALTY_RATIO
     })
--- a/src/mesh/meshNodeTypes.ts
+++ b/src/mesh/meshNodeTypes.ts
@@ -26,6 +26,8 @@
   readonly metricsListen: Address | null
   /** Limit on open file descriptors of the process. */
   readonly descriptorsMaxCount: number
+  /** Interval at which backend servers renew their entries in the store. */
+  readonly heartbeatPeriodMs: Millis
   /** Time from the start of a stop until the process is killed. */
   readonly stopGraceMs: Millis
   readonly fleetRetryBudget: FleetRetryBudgetSettings
