--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -385,6 +385,7 @@
       response.writeHead(421, { ...echo, 'X-Instance-Id': this.id }).end()
       return
     }
+    if (this.shed(request, response, echo)) return
     const run = { attempt, path: request.url, method: request.method, expected, at: now(), endedAt: null }
     this.runs.push(run)
     request.socket.once('close', () => { run.endedAt ??= now() })
@@ -394,6 +395,9 @@
     this.answer(request, response, { ...echo, 'X-Response-Signature': `signed.${this.id}.${attempt}` }, body)
   }
 
+  /** Whether it refuses a request without running it. */
+  shed () { return false }
+
   answer (request, response, headers) {
     response.writeHead(200, headers).end(`answer of ${this.service} to ${request.headers['x-attempt-id']}`)
   }
