--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -386,7 +386,7 @@
       return
     }
     if (this.shed(request, response, echo)) return
-    const run = { attempt, path: request.url, method: request.method, expected, at: now(), endedAt: null }
+    const run = { attempt, body, path: request.url, method: request.method, expected, at: now(), endedAt: null }
     this.runs.push(run)
     request.socket.once('close', () => { run.endedAt ??= now() })
     await sleep(this.workMs)
