--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,12 +1,16 @@
-// A backend server crashes for good and its address goes to one of another service. The node beside it stays.
+// A backend server crashes for good and its address goes to one of another service, while the node beside it still runs.
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { Backend, HAS_TROUBLE, now, runCase, send, sleep } from '../lib/deployment.mjs'
 
 /** Later than `reuse_after_s` (2 s) and before the store drops the old entry (4.5 s). */
-const REUSED_AFTER_MS = 2_950
+const REUSED_AFTER_MS = 3_010
+/** When the platform stops the node: once the store has dropped the entry of its server. */
+const STOPPED_AFTER_MS = 4_500
+/** Clients leave a node after two status checks without a 200. */
+const CLIENTS_LEFT_AFTER_MS = 2_000
 const INTERVAL_MS = 5
-const PLAYED_MS = 8_000
+const PLAYED_MS = 10_000
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async start => {
   const deployment = await start({
@@ -21,7 +25,7 @@
     createBackend: (deployment, machine) => new Backend(deployment, machine)
   })
   const { record } = deployment
-  const clients = deployment.machines
+  let clients = deployment.machines
   const results = []
   const endAt = now() + PLAYED_MS
   const replace = async () => {
@@ -35,6 +39,11 @@
     record.add(`${next.name} is in the store`)
     await next.listen()
     record.add(`${next.name} starts at ${next.ip}`)
+    await sleep(STOPPED_AFTER_MS - REUSED_AFTER_MS)
+    deployment.machines[0].restarts = false
+    deployment.machines[0].signal('SIGTERM')
+    await sleep(CLIENTS_LEFT_AFTER_MS)
+    clients = deployment.machines.slice(1)
   }
   if (HAS_TROUBLE) setTimeout(() => { void replace() }, 2_000)
   for (let number = 0; now() < endAt; number++) {
