--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -45,7 +45,7 @@
     await sleep(CLIENTS_LEFT_AFTER_MS)
     clients = deployment.machines.slice(1)
   }
-  if (HAS_TROUBLE) setTimeout(() => { void replace() }, 2_000)
+  if (HAS_TROUBLE) setTimeout(() => replace(), 2_000)
   for (let number = 0; now() < endAt; number++) {
     const machine = clients[number % clients.length]
     const id = `b${number.toString(16).padStart(15, '0')}`
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -366,7 +366,7 @@
   #handle (request, response) {
     const chunks = []
     request.on('data', chunk => chunks.push(chunk))
-    request.on('end', () => { void this.#execute(request, response, Buffer.concat(chunks)) })
+    request.on('end', () => this.#execute(request, response, Buffer.concat(chunks)))
     request.on('error', () => {})
     response.on('error', () => {})
   }
@@ -413,7 +413,10 @@
       resolve(result)
     }
     const request = httpRequest({
-      host: machine.ip, port: machine.deployment.ports.caller, path, method,
+      host: machine.ip,
+      port: machine.deployment.ports.caller,
+      path,
+      method,
       headers: { Host: 'mesh.example', 'X-Attempt-Id': id, 'X-Deadline-Ms': String(timeLimitMs) }
     }, response => {
       result.status = response.statusCode
