--- /dev/null
+++ b/src/http/callerServer.spec.ts
@@ -0,0 +1,97 @@
+import { connect, type Socket } from 'node:net'
+import { systemClock } from '../clock/clock.js'
+import { CallerServer, type IncomingRequest } from './callerServer.js'
+import { MessageLimit } from './messageLimits.js'
+
+const MIB = 1024 * 1024
+const POST = 'POST /a HTTP/1.1\r\nHost: x\r\n'
+
+let server: CallerServer
+let port: number
+const limits: MessageLimit[] = []
+const sockets = new Set<Socket>()
+
+async function startServer (onRequest: (request: IncomingRequest) => void): Promise<void> {
+  limits.length = 0
+  const answer = { statusText: '', headerText: '', body: Buffer.alloc(0), hasLength: true }
+  server = new CallerServer({
+    host: '127.0.0.1',
+    port: 0,
+    clock: systemClock,
+    connectionsMaxCount: 100,
+    bounds: () => ({ headMaxBytes: 16_384, bodyMaxBytes: 60 * MIB, headTimeoutMs: 5_000, idleTimeoutMs: 5_000 }),
+    onRequest,
+    errorAnswer: statusCode => ({ ...answer, statusCode }),
+    onLimitExceeded: limit => limits.push(limit)
+  })
+  port = await server.listen()
+}
+
+afterEach(() => {
+  for (const socket of sockets) socket.destroy()
+  server.close()
+  server.destroyAllConnections()
+})
+
+/** Sends bytes on a new connection and resolves to what was received until it closed. */
+function send (...parts: ReadonlyArray<string | Buffer>): Promise<string> {
+  return new Promise(resolve => {
+    let received = ''
+    const socket = connect(port, '127.0.0.1', () => { for (const part of parts) socket.write(part) })
+    sockets.add(socket)
+    socket.on('data', chunk => { received += chunk.toString('latin1') })
+    socket.on('error', () => {})
+    socket.on('close', () => resolve(received))
+  })
+}
+
+function answerWithLength (request: IncomingRequest): void {
+  const body = Buffer.from(String(request.body.length))
+  request.answer({ statusCode: 200, statusText: 'OK', headerText: '', body, hasLength: true })
+}
+
+describe('requests without end', () => {
+  test.each([
+    ['a head', `${POST}a: ${'x'.repeat(MIB)}`, 431, MessageLimit.Head],
+    ['a chunk size line', `${POST}Transfer-Encoding: chunked\r\n\r\n1;${'x'.repeat(MIB)}`, 400, MessageLimit.ChunkSizeLine],
+    ['a trailer', `${POST}Transfer-Encoding: chunked\r\n\r\n0\r\na: ${'x'.repeat(MIB)}`, 431, MessageLimit.Trailers]
+  ])('%s without end is refused and counted', async (_name, text, status, limit) => {
+    await startServer(answerWithLength)
+    // Closing with unread bytes can reset the connection before the answer arrives.
+    expect(['', `HTTP/1.1 ${status} `]).toContain((await send(text)).slice(0, 13))
+    expect(limits).toEqual([limit])
+  })
+
+  test('bodies of many connections are bounded together, and the request that is refused has not been passed on', async () => {
+    let passedOnBytes = 0
+    await startServer(request => { passedOnBytes += request.body.length })
+    const head = `${POST}Content-Length: ${30 * MIB}\r\n\r\n`
+    for (let count = 0; count < 6; count++) void send(head, Buffer.alloc(30 * MIB - 1))
+    while (limits.length < 3) await new Promise(resolve => setTimeout(resolve, 20))
+    expect(new Set(limits)).toEqual(new Set([MessageLimit.Bodies]))
+    expect(passedOnBytes).toBe(0)
+  })
+
+  test('very many small chunks do not keep the process from other connections', async () => {
+    await startServer(answerWithLength)
+    const upload = send(`${POST}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n`, '1\r\nx\r\n'.repeat(300_000), '0\r\n\r\n')
+    let longestMs = 0
+    for (let count = 0; count < 20; count++) {
+      const startedAtMs = systemClock.monotonicMs()
+      expect(await send(`${POST}Connection: close\r\nContent-Length: 1\r\n\r\nx`)).toContain('200 OK')
+      longestMs = Math.max(longestMs, systemClock.monotonicMs() - startedAtMs)
+    }
+    expect(longestMs).toBeLessThan(100)
+    expect(await upload).toContain('300000')
+  })
+
+  test('very many small requests are answered in order over several turns', async () => {
+    await startServer(answerWithLength)
+    let turnsCount = 0
+    const timer = setInterval(() => { turnsCount += 1 }, 1)
+    const text = await send(`${POST}Content-Length: 0\r\n\r\n`.repeat(2_000) + `${POST}Connection: close\r\n\r\n`)
+    clearInterval(timer)
+    expect(text.match(/200 OK/g)?.length).toBe(2_001)
+    expect(turnsCount).toBeGreaterThan(1)
+  })
+})
--- a/src/http/callerServer.ts
+++ b/src/http/callerServer.ts
@@ -1,7 +1,10 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import type { Clock, Millis } from '../clock/clock.js'
+import { BodyBuffer } from './bodyBuffer.js'
+import { MessageLimit, MessageLimitError, type LimitListener } from './messageLimits.js'
 import { MessageParser, type MessageHead } from './messageParser.js'
 import { headerValue, joinMessage } from './messageText.js'
+import { PacedReader } from './pacedReader.js'
 
 const EMPTY_BODY = Buffer.alloc(0)
 /** Interval of the checks for idle connections and slow senders. */
@@ -15,6 +18,8 @@
 const PIPELINED_MAX_COUNT = 16
 /** Largest declared length of a request body: a quarter of the memory of the smallest VM. */
 const DECLARED_BODY_MAX_BYTES = 64 * 1024 * 1024
+/** Limit on the bodies of all open requests together. */
+const BODIES_MAX_BYTES = 96 * 1024 * 1024
 
 /** Limits on what a caller may send; they may change while connections are open. */
 export interface CallerBounds {
@@ -59,6 +64,7 @@
   readonly onRequest: (request: IncomingRequest) => void
   /** Creates the answer to a request that the server rejects, with the status code for the reason. */
   readonly errorAnswer: (statusCode: 400 | 408 | 413 | 431 | 503) => OutgoingAnswer
+  readonly onLimitExceeded: LimitListener
 }
 
 type ConnectionPhase = 'idle' | 'head' | 'body' | 'waiting' | 'closing'
@@ -73,14 +79,15 @@
 class CallerConnection {
   readonly #server: CallerServer
   readonly #socket: Socket
-  readonly #parser: MessageParser
+  readonly #reader: PacedReader
+  readonly #body = new BodyBuffer()
   readonly #pipelinedRequests: ParsedRequest[] = []
   readonly id: number
   #phase: ConnectionPhase = 'idle'
   #phaseStartedAtMs: Millis
   #head: MessageHead | null = null
-  #bodyChunks: Buffer[] = []
-  #bodyBytes = 0
+  /** Bytes in the bodies of this connection's open requests. */
+  #heldBytes = 0
   #currentRequest: IncomingRequest | null = null
   #keepsAlive = true
   #isClosed = false
@@ -90,11 +97,12 @@
     this.#socket = socket
     this.id = id
     this.#phaseStartedAtMs = nowMs
-    this.#parser = new MessageParser('REQUEST', {
+    const parser = new MessageParser('REQUEST', {
       onHead: head => this.#onHead(head),
       onBody: chunk => this.#onBody(chunk),
       onEnd: () => this.#onEnd()
     }, server.options.bounds().headMaxBytes)
+    this.#reader = new PacedReader(socket, parser, error => this.#onMalformed(error))
     socket.on('data', (chunk: Buffer) => this.#onData(chunk))
     socket.on('end', () => this.#onCallerGone())
     socket.on('error', () => this.#onCallerGone())
@@ -113,18 +121,43 @@
   #onData (chunk: Buffer): void {
     if (this.#phase === 'closing') return
     if (this.#phase === 'idle') this.#enterPhase('head')
-    const error = this.#parser.read(chunk)
-    if (error !== undefined) this.#rejectRequest(/header size/.test(error.message) ? 431 : 400)
+    this.#reader.read(chunk)
+  }
+
+  #onMalformed (error: Error): void {
+    if (!(error instanceof MessageLimitError)) this.#rejectRequest(400)
+    else {
+      const isFieldLimit = error.limit === MessageLimit.Head || error.limit === MessageLimit.Trailers
+      this.#rejectByLimit(error.limit, isFieldLimit ? 431 : 400)
+    }
+  }
+
+  #rejectByLimit (limit: MessageLimit, statusCode: 400 | 413 | 431 | 503): void {
+    this.#server.options.onLimitExceeded(limit)
+    this.#rejectRequest(statusCode)
+  }
+
+  /** Rejects the request that is being received, since the bodies of all requests together are above their limit. */
+  rejectForMemory (): void {
+    this.#rejectByLimit(MessageLimit.Bodies, 503)
+  }
+
+  /** Bytes of the body that is being received; its request has not been passed on. */
+  get receivingBytes (): number {
+    return this.#body.lengthBytes
+  }
+
+  #hold (bytes: number): void {
+    this.#heldBytes += bytes
+    this.#server.addHeldBytes(bytes)
   }
 
   #onHead (head: MessageHead): boolean {
     this.#head = head
-    this.#bodyChunks = []
-    this.#bodyBytes = 0
     if (this.#phase !== 'waiting') this.#enterPhase('body')
     const lengthBytes = Number(headerValue(head.headers, 'content-length') ?? 0)
-    if (lengthBytes > this.#server.options.bounds().bodyMaxBytes) this.#rejectRequest(413)
-    else if (!this.#server.acceptsBodyLength(lengthBytes)) this.#rejectRequest(503)
+    if (lengthBytes > this.#server.options.bounds().bodyMaxBytes) this.#rejectByLimit(MessageLimit.Body, 413)
+    else if (!this.#server.acceptsBodyLength(lengthBytes)) this.#rejectByLimit(MessageLimit.Bodies, 503)
     else if (headerValue(head.headers, 'expect')?.toLowerCase() === '100-continue') {
       this.#socket.write('HTTP/1.1 100 Continue\r\n\r\n')
     }
@@ -133,21 +166,20 @@
 
   #onBody (chunk: Buffer): void {
     if (this.#phase === 'closing') return
-    this.#bodyBytes += chunk.length
-    if (this.#bodyBytes > this.#server.options.bounds().bodyMaxBytes) {
-      this.#rejectRequest(413)
+    if (this.#body.lengthBytes + chunk.length > this.#server.options.bounds().bodyMaxBytes) {
+      this.#rejectByLimit(MessageLimit.Body, 413)
       return
     }
-    this.#bodyChunks.push(chunk)
+    this.#body.append(chunk)
+    this.#hold(chunk.length)
   }
 
   #onEnd (): void {
     const head = this.#head
     if (head === null || this.#phase === 'closing') return
-    const body = this.#bodyChunks.length === 0 ? EMPTY_BODY : Buffer.concat(this.#bodyChunks)
+    const body = this.#body.lengthBytes === 0 ? EMPTY_BODY : this.#body.take()
     const parsed = { head, body, beganAtMs: this.#phaseStartedAtMs }
     this.#head = null
-    this.#bodyChunks = []
     if (this.#currentRequest === null) this.#deliverRequest(parsed)
     else if (this.#pipelinedRequests.length < PIPELINED_MAX_COUNT) this.#pipelinedRequests.push(parsed)
     else this.#rejectRequest(400)
@@ -175,6 +207,7 @@
   #answerRequest (request: IncomingRequest, answer: OutgoingAnswer): void {
     if (this.#currentRequest !== request || this.#isClosed) return
     this.#currentRequest = null
+    this.#hold(-request.body.length)
     const keepsAlive = this.#keepsAlive && answer.hasLength && !this.#server.isStopping && this.#phase !== 'closing'
     this.#writeAnswer(answer, keepsAlive, request.head.method === 'HEAD')
     if (!keepsAlive) {
@@ -210,14 +243,21 @@
   }
 
   #endConnection (): void {
+    this.#releaseBodies()
     this.#enterPhase('closing')
     this.#socket.end()
   }
 
+  #releaseBodies (): void {
+    this.#pipelinedRequests.length = 0
+    this.#body.clear()
+    this.#hold(-this.#heldBytes)
+  }
+
   #onCallerGone (): void {
     const current = this.#currentRequest
     this.#currentRequest = null
-    this.#pipelinedRequests.length = 0
+    this.#releaseBodies()
     this.#phase = 'closing'
     current?.onCallerGone?.()
   }
@@ -252,7 +292,7 @@
  * sender cannot exhaust the server.
  *
  * @example
- * const server = new CallerServer({ host, port, clock, connectionsMaxCount: 2000, bounds, onRequest, faultAnswer })
+ * const server = new CallerServer({ host, port, clock, connectionsMaxCount: 2000, ...handlers })
  * await server.listen()
  */
 export class CallerServer {
@@ -260,6 +300,7 @@
   readonly #server: Server
   readonly #connections = new Set<CallerConnection>()
   #nextId = 1
+  #heldBytes = 0
   #timeoutCheckTimer: NodeJS.Timeout | null = null
   #stopping = false
 
@@ -311,6 +352,16 @@
     return lengthBytes <= DECLARED_BODY_MAX_BYTES
   }
 
+  /** Counts the bodies of open requests. Above the limit, the largest one that is still being received is rejected. */
+  addHeldBytes (bytes: number): void {
+    this.#heldBytes += bytes
+    if (bytes < 0 || this.#heldBytes <= BODIES_MAX_BYTES) return
+    const largest = [...this.#connections].reduce((most, other) => {
+      return other.receivingBytes > most.receivingBytes ? other : most
+    })
+    largest.rejectForMemory()
+  }
+
   removeConnection (connection: CallerConnection): void {
     this.#connections.delete(connection)
   }
--- /dev/null
+++ b/src/http/exchangePool.spec.ts
@@ -0,0 +1,146 @@
+import { createServer, type Server, type Socket } from 'node:net'
+import { systemClock } from '../clock/clock.js'
+import { BrokenCause, ExchangePool, type ExchangeRequest, type ExchangeResult } from './exchangePool.js'
+import type { MessageHead } from './messageParser.js'
+import { MessageLimit } from './messageLimits.js'
+import { headerValue } from './messageText.js'
+
+const MIB = 1024 * 1024
+const HEAD = 'HTTP/1.1 200 OK\r\nid: a\r\n'
+const CHUNKED_HEAD = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`
+
+/** Server that handles each connection with a function, and a pool of connections to it. */
+class PoolFixture {
+  readonly limits: MessageLimit[] = []
+  connectionsCount = 0
+  pool!: ExchangePool
+  readonly #sockets = new Set<Socket>()
+  readonly #server: Server
+
+  constructor (onRequest: (socket: Socket, text: string, number: number) => void) {
+    this.#server = createServer(socket => {
+      this.connectionsCount += 1
+      let number = 0
+      this.#sockets.add(socket)
+      socket.on('error', () => {})
+      socket.on('data', chunk => onRequest(socket, chunk.toString('latin1'), number++))
+    })
+  }
+
+  async start (): Promise<this> {
+    await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve))
+    const { port } = this.#server.address() as { port: number }
+    this.pool = new ExchangePool({
+      host: '127.0.0.1',
+      port,
+      clock: systemClock,
+      connectTimeoutMs: 500,
+      idleMaxMs: 5_000,
+      answerMaxBytes: 4 * MIB,
+      answersMaxBytes: 6 * MIB,
+      connectionsMaxCount: () => 100,
+      onLimitExceeded: limit => { this.limits.push(limit) }
+    })
+    return this
+  }
+
+  send (id = 'a', options: Partial<ExchangeRequest> = {}): Promise<ExchangeResult> {
+    return new Promise(resolve => {
+      this.pool.send({
+        bytes: Buffer.from(`GET /${id} HTTP/1.1\r\n\r\n`),
+        needsFreshConnection: false,
+        isHead: false,
+        isOwnAnswer: (head: MessageHead) => headerValue(head.headers, 'id') === id,
+        onResult: resolve,
+        ...options
+      })
+    })
+  }
+
+  close (): void {
+    this.pool.closeAll()
+    this.#server.close()
+    for (const socket of this.#sockets) socket.destroy()
+  }
+}
+
+let fixture: PoolFixture
+
+async function startPool (onRequest: (socket: Socket, text: string, number: number) => void): Promise<void> {
+  fixture = await new PoolFixture(onRequest).start()
+}
+
+afterEach(() => fixture.close())
+
+describe('answers without end', () => {
+  // The process collected such bytes until its heap was full, and ended with all its open requests.
+  test.each([
+    ['a head', '', `${HEAD}b: `, MessageLimit.Head],
+    ['a chunk size line', '', CHUNKED_HEAD, MessageLimit.ChunkSizeLine],
+    ['a trailer', '', `${CHUNKED_HEAD}0\r\na: `, MessageLimit.Trailers],
+    ['a body', `${HEAD}\r\n`, 'x'.repeat(1_024), MessageLimit.Body],
+    ['interim answers', '', 'HTTP/1.1 100 Continue\r\n\r\n', MessageLimit.SkippedAnswers],
+    ['answers to another request', '', 'HTTP/1.1 200 OK\r\nid: b\r\nContent-Length: 0\r\n\r\n', MessageLimit.SkippedAnswers],
+    ['the body of an answer to another request', 'HTTP/1.1 200 OK\r\nid: b\r\n\r\n', 'x'.repeat(1_024), MessageLimit.SkippedBytes]
+  ])('%s without end breaks its own exchange only', async (_name, start, unit, limit) => {
+    await startPool((socket, text) => {
+      if (text.startsWith('GET /sound')) {
+        socket.write('HTTP/1.1 200 OK\r\nid: sound\r\nContent-Length: 0\r\n\r\n')
+        return
+      }
+      const isLine = unit.startsWith('HTTP/1.1 100') || unit.includes('id: b') || start !== ''
+      const rest = isLine ? unit.repeat(Math.ceil(5 * MIB / unit.length)) : unit + 'x'.repeat(5 * MIB)
+      socket.write(start + rest)
+    })
+    const [endless, sound] = await Promise.all([fixture.send('a'), fixture.send('sound')])
+    expect(endless).toMatchObject({ kind: 'broken', cause: BrokenCause.LimitExceeded })
+    expect(sound).toMatchObject({ kind: 'answered' })
+    expect(fixture.limits).toEqual([limit])
+  })
+
+  // Each chunk was kept as an object of its own: 4 MB of body took a hundred times as much memory.
+  test('a body of very many small chunks is bounded like one long chunk, and others are answered meanwhile', async () => {
+    await startPool((socket, text) => {
+      if (text.startsWith('GET /sound')) socket.write('HTTP/1.1 200 OK\r\nid: sound\r\nContent-Length: 0\r\n\r\n')
+      else socket.write(CHUNKED_HEAD + '1\r\na\r\n'.repeat(300_000))
+    })
+    const before = process.memoryUsage()
+    let hasEnded = false
+    void fixture.send('a').then(() => { hasEnded = true })
+    let longestMs = 0
+    for (let count = 0; count < 50; count++) {
+      const startedAtMs = systemClock.monotonicMs()
+      expect((await fixture.send('sound')).kind).toBe('answered')
+      longestMs = Math.max(longestMs, systemClock.monotonicMs() - startedAtMs)
+    }
+    expect(hasEnded).toBe(false)
+    expect(longestMs).toBeLessThan(100)
+    expect(process.memoryUsage().heapUsed - before.heapUsed).toBeLessThan(40 * MIB)
+  })
+
+  test('many bodies without end are bounded together', async () => {
+    await startPool((socket, text) => {
+      const id = /GET \/(\w+)/.exec(text)![1]!
+      socket.write(`HTTP/1.1 200 OK\r\nid: ${id}\r\nContent-Length: ${4 * MIB}\r\n\r\n`)
+      socket.write(Buffer.alloc(3 * MIB))
+    })
+    for (let count = 0; count < 8; count++) void fixture.send(`r${count}`)
+    await new Promise(resolve => setTimeout(resolve, 300))
+    expect(fixture.limits.length).toBeGreaterThanOrEqual(6)
+    expect(new Set(fixture.limits)).toEqual(new Set([MessageLimit.Bodies]))
+  })
+
+  test('an answer with a head in several pieces is read after one with a long body', async () => {
+    await startPool((socket, _text, number) => {
+      if (number === 0) {
+        socket.write(`${HEAD}Content-Length: 65000\r\n\r\n${'x'.repeat(65_000)}`)
+        return
+      }
+      socket.write('HTTP/1.1 200 OK\r\nid: second\r\n')
+      setTimeout(() => socket.write(`a: ${'x'.repeat(2_000)}\r\nContent-Length: 0\r\n\r\n`), 10)
+    })
+    expect((await fixture.send('a')).kind).toBe('answered')
+    expect(await fixture.send('second')).toMatchObject({ kind: 'answered' })
+    expect(fixture.connectionsCount).toBe(1)
+  })
+})
--- a/src/http/exchangePool.ts
+++ b/src/http/exchangePool.ts
@@ -1,23 +1,43 @@
 import { connect, type Socket } from 'node:net'
 import type { Clock, Millis } from '../clock/clock.js'
+import { BodyBuffer } from './bodyBuffer.js'
+import { MessageLimit, MessageLimitError, type LimitListener } from './messageLimits.js'
 import { MessageParser, type MessageHead } from './messageParser.js'
 import { keepAliveSeconds } from './messageText.js'
+import { PacedReader } from './pacedReader.js'
 
 /** Largest accepted answer head; no correct backend server sends a larger one. */
 const ANSWER_HEAD_MAX_BYTES = 65_536
+/** Interim answers and answers to other requests that are skipped before the answer to a request. */
+const SKIPPED_ANSWERS_MAX_COUNT = 32
 /**
  * How much earlier than the server's keep-alive timeout an idle connection is
  * closed, so that no request is in flight when the server closes it.
  */
 const KEEP_ALIVE_MARGIN_MS: Millis = 1_000
 
+/** Why a request that was written got no complete answer. */
+export enum BrokenCause {
+  ConnectionLost = 'connection_lost',
+  /** The server sent bytes that are not an answer. */
+  Malformed = 'malformed',
+  /** The server sent more than a limit allows. */
+  LimitExceeded = 'limit_exceeded'
+}
+
 /** Result of a request on a connection. */
 export type ExchangeResult =
   | { readonly kind: 'answered', readonly head: MessageHead, readonly body: Buffer, readonly tookMs: Millis }
   /** No byte of the request was written. */
   | { readonly kind: 'not_sent', readonly reason: string }
   /** The request was written but got no complete answer; it may have run. */
-  | { readonly kind: 'broken', readonly reason: string, readonly onReused: boolean, readonly answerBegan: boolean }
+  | {
+    readonly kind: 'broken'
+    readonly cause: BrokenCause
+    readonly reason: string
+    readonly onReused: boolean
+    readonly answerBegan: boolean
+  }
 
 export interface ExchangeRequest {
   /** The encoded request, head and body. */
@@ -38,7 +58,10 @@
   /** Idle time after which a connection is closed if the server announces no keep-alive timeout. */
   readonly idleMaxMs: Millis
   readonly answerMaxBytes: number
+  /** Limit on the bodies of all answers that are being received. */
+  readonly answersMaxBytes: number
   readonly connectionsMaxCount: () => number
+  readonly onLimitExceeded: LimitListener
 }
 
 /** A request in flight. Cancelling it closes its connection, from which the server can tell that it may stop. */
@@ -50,13 +73,15 @@
   readonly #pool: ExchangePool
   readonly #socket: Socket
   readonly #parser: MessageParser
+  readonly #reader: PacedReader
+  readonly #body = new BodyBuffer()
   #request: ExchangeRequest | null = null
   #startedAtMs: Millis = 0
   #head: MessageHead | null = null
   #isSkippingAnswer = false
   #hasSkippedAnswer = false
-  #bodyChunks: Buffer[] = []
-  #bodyBytes = 0
+  #skippedAnswersCount = 0
+  #skippedBytes = 0
   #requestsCount = 0
   #onProbed: ((isOpen: boolean) => void) | null
   #isOpen = false
@@ -75,6 +100,7 @@
       onEnd: restBytes => this.#onEnd(restBytes)
     }, ANSWER_HEAD_MAX_BYTES)
     this.#socket = connect({ host, port, noDelay: true })
+    this.#reader = new PacedReader(this.#socket, this.#parser, error => this.#onMalformed(error))
     const timer = setTimeout(() => this.#fail('connect timed out'), connectTimeoutMs)
     this.#socket.on('connect', () => {
       clearTimeout(timer)
@@ -99,6 +125,8 @@
     this.#request = request
     this.#startedAtMs = this.#pool.options.clock.monotonicMs()
     this.#requestsCount += 1
+    this.#skippedAnswersCount = 0
+    this.#skippedBytes = 0
     if (this.#isOpen) this.#writeRequest()
   }
 
@@ -128,8 +156,24 @@
       this.close()
       return
     }
-    const error = this.#parser.read(chunk)
-    if (error !== undefined) this.#fail('malformed answer')
+    this.#reader.read(chunk)
+  }
+
+  #onMalformed (error: Error): void {
+    if (error instanceof MessageLimitError) this.failByLimit(error.limit, error.message)
+    else this.#fail('malformed answer', BrokenCause.Malformed)
+  }
+
+  /** Ends the connection because the server sent more than a limit allows. */
+  failByLimit (limit: MessageLimit, reason = `${limit} above the limit`): void {
+    if (this.#isClosed) return
+    this.#pool.options.onLimitExceeded(limit)
+    this.#fail(reason, BrokenCause.LimitExceeded)
+  }
+
+  /** Bytes of the answer's body that were received so far. */
+  get bodyBytes (): number {
+    return this.#body.lengthBytes
   }
 
   #onHead (head: MessageHead): boolean {
@@ -137,18 +181,25 @@
     if (request === null) return false
     const isInterim = head.statusCode < 200
     this.#isSkippingAnswer = isInterim || !request.isOwnAnswer(head)
-    if (this.#isSkippingAnswer) this.#hasSkippedAnswer ||= !isInterim
-    else this.#head = head
-    this.#bodyChunks = []
-    this.#bodyBytes = 0
+    if (this.#isSkippingAnswer) {
+      this.#hasSkippedAnswer ||= !isInterim
+      this.#skippedAnswersCount += 1
+      if (this.#skippedAnswersCount > SKIPPED_ANSWERS_MAX_COUNT) this.failByLimit(MessageLimit.SkippedAnswers)
+    } else this.#head = head
     return request.isHead
   }
 
   #onBody (chunk: Buffer): void {
-    if (this.#isSkippingAnswer || this.#request === null) return
-    this.#bodyBytes += chunk.length
-    if (this.#bodyBytes > this.#pool.options.answerMaxBytes) this.#fail('answer too large')
-    else this.#bodyChunks.push(chunk)
+    if (this.#request === null) return
+    const { answerMaxBytes } = this.#pool.options
+    if (this.#isSkippingAnswer) {
+      this.#skippedBytes += chunk.length
+      if (this.#skippedBytes > answerMaxBytes) this.failByLimit(MessageLimit.SkippedBytes)
+    } else if (this.#body.lengthBytes + chunk.length > answerMaxBytes) this.failByLimit(MessageLimit.Body)
+    else {
+      this.#body.append(chunk)
+      this.#pool.addBodyBytes(chunk.length)
+    }
   }
 
   #onEnd (restBytes: number): void {
@@ -162,8 +213,8 @@
     const nowMs = this.#pool.options.clock.monotonicMs()
     this.#request = null
     this.#head = null
-    const body = this.#bodyChunks.length === 1 ? this.#bodyChunks[0]! : Buffer.concat(this.#bodyChunks)
-    this.#bodyChunks = []
+    this.#pool.addBodyBytes(-this.#body.lengthBytes)
+    const body = this.#body.take()
     const seconds = keepAliveSeconds(head)
     if (seconds !== undefined) this.idleMaxMs = Math.max(0, seconds * 1000 - KEEP_ALIVE_MARGIN_MS)
     // The connection is also not reusable if the answer arrived before the request body was completely written.
@@ -181,15 +232,18 @@
   }
 
   #onFin (): void {
+    this.#reader.finish()
     if (this.#request !== null && this.#head !== null && !this.#head.hasLength && this.#parser.finish() === undefined) {
       return
     }
     this.#fail('closed by peer')
   }
 
-  #fail (reason: string): void {
+  #fail (reason: string, cause = BrokenCause.ConnectionLost): void {
     if (this.#isClosed) return
     this.#isClosed = true
+    this.#pool.addBodyBytes(-this.#body.lengthBytes)
+    this.#body.clear()
     const request = this.#request
     this.#request = null
     this.#pool.removeConnection(this)
@@ -198,7 +252,8 @@
     if (request === null) return
     if (!this.#isOpen) request.onResult({ kind: 'not_sent', reason })
     else {
-      request.onResult({ kind: 'broken', reason, onReused: this.#requestsCount > 1, answerBegan: this.#head !== null })
+      const onReused = this.#requestsCount > 1
+      request.onResult({ kind: 'broken', cause, reason, onReused, answerBegan: this.#head !== null })
     }
   }
 }
@@ -216,6 +271,7 @@
   readonly options: ExchangePoolOptions
   readonly #idleConnections: ExchangeConnection[] = []
   readonly #connections = new Set<ExchangeConnection>()
+  #bodiesBytes = 0
 
   constructor (options: ExchangePoolOptions) {
     this.options = options
@@ -257,6 +313,15 @@
     this.#idleConnections.push(connection)
   }
 
+  /** Counts what connections hold of incomplete answers. Above the limit, the one that holds most is closed. */
+  addBodyBytes (bytes: number): void {
+    this.#bodiesBytes += bytes
+    while (this.#bodiesBytes > this.options.answersMaxBytes) {
+      const largest = [...this.#connections].reduce((most, other) => other.bodyBytes > most.bodyBytes ? other : most)
+      largest.failByLimit(MessageLimit.Bodies)
+    }
+  }
+
   removeConnection (connection: ExchangeConnection): void {
     this.#connections.delete(connection)
     const at = this.#idleConnections.indexOf(connection)
--- a/src/http/messageParser.spec.ts
+++ b/src/http/messageParser.spec.ts
@@ -22,7 +22,10 @@
     }
   }, 1_000)
   let error = ''
-  for (const chunk of chunks) error ||= parser.read(Buffer.from(chunk, 'latin1'))?.message ?? ''
+  for (const chunk of chunks) {
+    error ||= parser.read(Buffer.from(chunk, 'latin1'))?.message ?? ''
+    while (error === '' && parser.hasUnread) error = parser.readMore()?.message ?? ''
+  }
   return { ...seen, error }
 }
 
@@ -68,6 +71,48 @@
   test('a head above the size limit is refused, also after a message below the limit', () => {
     const small = 'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
     const { error } = parse('REQUEST', [small, `GET / HTTP/1.1\r\nA: ${'a'.repeat(1_200)}`])
-    expect(error).toContain('header size')
+    expect(error).toContain('head above 1000')
+  })
+
+  test('a head is accepted whatever came before it on its connection, however it is divided', () => {
+    // The library counted the end of the message before as part of the head.
+    const upload = `POST / HTTP/1.1\r\nContent-Length: 3000\r\n\r\n${'a'.repeat(3_000)}`
+    const { error, heads } = parse('REQUEST', [upload, 'GET /after HTTP/1.1\r\n', `A: ${'a'.repeat(700)}\r\n\r\n`])
+    expect(error).toBe('')
+    expect(heads.map(({ target }) => target)).toEqual(['/', '/after'])
+  })
+})
+
+describe('limits on bytes that never end a line or a body', () => {
+  const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+  test.each([
+    ['a chunk size', '1'.repeat(4_097), 'chunk_size_line above 4096'],
+    ['a chunk extension', `1;${'x'.repeat(4_096)}`, 'chunk_size_line above 4096'],
+    ['the line after a chunk', `1\r\na${'x'.repeat(4_096)}`, 'bytes after the end of a chunk'],
+    ['a trailer line', `0\r\n${'x'.repeat(1_001)}`, 'trailers above 1000'],
+    ['many trailer lines', `0\r\n${'a: b\r\n'.repeat(200)}`, 'trailers above 1000'],
+    ['many chunks with long extensions', `1;${'x'.repeat(2_000)}\r\na\r\n`.repeat(40), 'chunk_framing above'],
+    ['many empty lines before a head', '0\r\n\r\n' + '\r\n'.repeat(600), 'head above 1000']
+  ])('%s without end is refused, in one piece and byte by byte', (_name, text, message) => {
+    expect(parse('RESPONSE', [CHUNKED + text]).error).toContain(message)
+    expect(parse('RESPONSE', [CHUNKED, ...text]).error).toContain(message)
+  })
+
+  test('a body of chunks of one byte is within the limits', () => {
+    const { bodies, error } = parse('RESPONSE', [`${CHUNKED}${'1\r\na\r\n'.repeat(50_000)}0\r\n\r\n`])
+    expect({ lengths: bodies.map(body => body.length), error }).toEqual({ lengths: [50_000], error: '' })
+  })
+
+  test('many small chunks are not all parsed in one turn of the event loop', () => {
+    let bodyBytes = 0
+    const parser = new MessageParser('RESPONSE', {
+      onHead: () => false, onBody: piece => { bodyBytes += piece.length }, onEnd: () => {}
+    }, 1_000)
+    parser.read(Buffer.from(CHUNKED + '1\r\na\r\n'.repeat(10_000)))
+    expect(bodyBytes).toBeLessThan(1_000)
+    expect(parser.hasUnread).toBe(true)
+    while (parser.hasUnread) parser.readMore()
+    expect(bodyBytes).toBe(10_000)
   })
 })
--- a/src/http/messageParser.ts
+++ b/src/http/messageParser.ts
@@ -1,5 +1,6 @@
 import { HTTPParser } from 'http-parser-js'
 import { StepError, Step } from '../errors/errors.js'
+import { MessageLimit, MessageLimitError } from './messageLimits.js'
 
 const ON_HEADERS_COMPLETE = HTTPParser.kOnHeadersComplete
 const ON_BODY = HTTPParser.kOnBody
@@ -7,9 +8,23 @@
 
 /** Latin-1 keeps the bytes of header values; any other decoding would change them when they are forwarded. */
 HTTPParser.encoding = 'latin1'
+/** The library counts whole chunks of the connection as head, so heads are limited here instead. */
+HTTPParser.maxHeaderSize = Number.MAX_SAFE_INTEGER
 
+const EMPTY_BYTES = Buffer.alloc(0)
 const DIGITS = /^\d{1,15}$/
 const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,12})[ \t]*(;.*)?$/
+/** Longest line with the size of a chunk; extensions are rare and short. */
+const CHUNK_SIZE_LINE_MAX_BYTES = 4_096
+/** Bytes between the chunks of a body that are accepted whatever its length, and besides them for each byte of body. */
+const CHUNK_FRAMING_MIN_BYTES = 65_536
+const CHUNK_FRAMING_RATIO = 16
+/** Steps after which `read` leaves the rest to the next turn of the event loop. A line or a piece of body is one. */
+const STEPS_PER_READ_MAX = 512
+/** Steps that a whole message counts as besides its lines, since it is handled at once. */
+const MESSAGE_STEPS = 32
+/** Bytes that are parsed between two checks of the steps, unless they are all in one piece of body. */
+const SLICE_BYTES = 1_024
 
 /** Head of an HTTP/1.1 message. `headers` alternates names and values, as they were received. */
 export interface MessageHead {
@@ -56,7 +71,6 @@
 
 /** Members of the library's parser that are used or replaced; its type declarations omit some of them. */
 interface ParserInternals {
-  maxHeaderSize: number
   execute (chunk: Buffer): unknown
   finish (): unknown
   consumeLine (): string | undefined
@@ -64,14 +78,34 @@
   body_bytes: number | null
   isChunked: boolean
   state: string
+  /** Start of a line that is not complete yet. */
+  line: string
   offset: number
   end: number
 }
 
+/** The library's states by the limit on the lines that are read in them. */
+const LIMIT_BY_STATE: Readonly<Record<string, MessageLimit>> = {
+  REQUEST_LINE: MessageLimit.Head,
+  RESPONSE_LINE: MessageLimit.Head,
+  HEADER: MessageLimit.Head,
+  BODY_CHUNKHEAD: MessageLimit.ChunkSizeLine,
+  BODY_CHUNKTRAILERS: MessageLimit.Trailers
+}
+
+const readLine: (this: ParserInternals) => string | undefined =
+  (HTTPParser.prototype as unknown as ParserInternals).consumeLine
+
 function parseError (reason: string): StepError {
   return new StepError(Step.ReadMessage, '', reason)
 }
 
+/** Returns a number of bytes that is within a limit; throws if it is above. */
+function checkLimit (limit: MessageLimit, bytes: number, maxBytes: number): number {
+  if (bytes > maxBytes) throw new MessageLimitError(limit, maxBytes)
+  return bytes
+}
+
 /** Replaces the library's method, which treats an invalid chunk size as the end of the body. */
 function parseChunkSizeLine (this: ParserInternals): void {
   const line = this.consumeLine()
@@ -101,12 +135,21 @@
 export class MessageParser {
   readonly #parser: ParserInternals
   readonly #headMaxBytes: number
+  #headBytes = 0
+  #trailersBytes = 0
+  #chunkSizeLineBytes = 0
+  #chunkFramingBytes = 0
+  #bodyBytes = 0
+  #stepsCount = 0
+  /** Bytes of the connection that are not parsed yet. */
+  #unread: Buffer = EMPTY_BYTES
 
   constructor (kind: 'REQUEST' | 'RESPONSE', callbacks: ParserCallbacks, headMaxBytes: number) {
     this.#headMaxBytes = headMaxBytes
     const parser = new HTTPParser(kind) as unknown as ParserInternals & Record<string | number, unknown>
     parser['BODY_CHUNKHEAD'] = parseChunkSizeLine
     parser.parseHeader = parseHeader
+    parser.consumeLine = () => this.#consumeLine()
     parser[ON_HEADERS_COMPLETE] = (info: {
       method: number,
       url: string,
@@ -129,18 +172,91 @@
       return isBodiless ? 1 : 0
     }
     parser[ON_BODY] = (chunk: Buffer, offset: number, length: number) => {
+      this.#stepsCount += 1
+      this.#bodyBytes += length
       callbacks.onBody(chunk.subarray(offset, offset + length))
     }
-    parser[ON_MESSAGE_COMPLETE] = () => callbacks.onEnd(parser.end - parser.offset)
+    parser[ON_MESSAGE_COMPLETE] = () => {
+      this.#stepsCount += MESSAGE_STEPS
+      this.#headBytes = this.#trailersBytes = this.#chunkFramingBytes = this.#bodyBytes = 0
+      callbacks.onEnd(parser.end - parser.offset + this.#unread.length)
+    }
     this.#parser = parser
   }
 
-  /** Parses the next bytes of the connection. Returns an error if they are not a valid message. */
-  read (chunk: Buffer): Error | undefined {
-    // The library resets its limit after each message.
-    this.#parser.maxHeaderSize = this.#headMaxBytes
+  /**
+   * Replaces the library's method, which collects a line without a limit. The bytes between the chunks of a body are
+   * limited in sum as well, since a body can consist of very many small chunks.
+   */
+  #consumeLine (): string | undefined {
+    const parser = this.#parser
+    const { state, offset } = parser
+    const line = readLine.call(parser)
+    const readBytes = parser.offset - offset
+    this.#stepsCount += 1
+    switch (LIMIT_BY_STATE[state]) {
+      case MessageLimit.Head:
+        this.#headBytes = checkLimit(MessageLimit.Head, this.#headBytes + readBytes, this.#headMaxBytes)
+        break
+      case MessageLimit.Trailers:
+        this.#trailersBytes = checkLimit(MessageLimit.Trailers, this.#trailersBytes + readBytes, this.#headMaxBytes)
+        break
+      case MessageLimit.ChunkSizeLine: {
+        const lineBytes = this.#chunkSizeLineBytes + readBytes
+        checkLimit(MessageLimit.ChunkSizeLine, lineBytes, CHUNK_SIZE_LINE_MAX_BYTES)
+        this.#chunkSizeLineBytes = line === undefined ? lineBytes : 0
+        const framingMaxBytes = CHUNK_FRAMING_MIN_BYTES + CHUNK_FRAMING_RATIO * this.#bodyBytes
+        this.#chunkFramingBytes = checkLimit(
+          MessageLimit.ChunkFraming, this.#chunkFramingBytes + readBytes, framingMaxBytes
+        )
+        break
+      }
+      default:
+        // The line after a chunk is empty, or the state is one without lines.
+        if (parser.line !== '' && parser.line !== '\r') throw parseError('bytes after the end of a chunk')
+    }
+    return line
+  }
+
+  /**
+   * Parses the next bytes of the connection. Returns an error if they are not a valid message. Very many small pieces
+   * are not all parsed at once: if `hasUnread` is true then, `readMore` is to be called in the next turn of the event
+   * loop, and the connection is not to be read before.
+   */
+  read (bytes: Buffer): Error | undefined {
+    this.defer(bytes)
+    return this.readMore()
+  }
+
+  /** Adds bytes of the connection without parsing them yet. */
+  defer (bytes: Buffer): undefined {
+    this.#unread = this.#unread.length === 0 ? bytes : Buffer.concat([this.#unread, bytes])
+  }
+
+  /** Whether bytes are left that have not been parsed. */
+  get hasUnread (): boolean {
+    return this.#unread.length > 0
+  }
+
+  /** Parses more of the unread bytes. */
+  readMore (): Error | undefined {
+    this.#stepsCount = 0
+    while (this.#unread.length > 0 && this.#stepsCount < STEPS_PER_READ_MAX) {
+      const error = this.#readSlice()
+      if (error !== undefined) return error
+    }
+    return undefined
+  }
+
+  #readSlice (): Error | undefined {
+    const bytes = this.#unread
+    const { state, body_bytes: bodyBytes } = this.#parser
+    // A sized or unlimited body needs no checks between its bytes.
+    const pieceBytes = state === 'BODY_SIZED' || state === 'BODY_CHUNK' ? bodyBytes ?? 0 : state === 'BODY_RAW' ? Infinity : 0
+    const slice = bytes.subarray(0, Math.max(SLICE_BYTES, pieceBytes))
+    this.#unread = bytes.subarray(slice.length)
     try {
-      const result: unknown = this.#parser.execute(chunk)
+      const result: unknown = this.#parser.execute(slice)
       return result instanceof Error ? result : undefined
     } catch (error) {
       if (error instanceof StepError) return error
@@ -148,7 +264,7 @@
     }
   }
 
-  /** Called when the connection ends. Returns an error if a message is incomplete. */
+  /** Called when the connection ends and all bytes are parsed. Returns an error if a message is incomplete. */
   finish (): Error | undefined {
     const result: unknown = this.#parser.finish()
     return result instanceof Error ? result : undefined
--- a/src/mesh/adminServer.ts
+++ b/src/mesh/adminServer.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock/clock.js'
 import { CallerServer, type OutgoingAnswer } from '../http/callerServer.js'
+import type { LimitListener } from '../http/messageLimits.js'
 
 const CALLER_LIMITS = { headMaxBytes: 8_192, bodyMaxBytes: 0, headTimeoutMs: 2_000, idleTimeoutMs: 60_000 }
 const CONNECTIONS_MAX_COUNT = 32
@@ -27,16 +28,18 @@
   readonly port: number
   readonly clock: Clock
   readonly answer: (path: string) => AdminAnswer
+  readonly onLimitExceeded: LimitListener
 }
 
 /** Creates an HTTP server for one operational endpoint of the node: readiness or metrics. */
-export function createAdminServer ({ host, port, clock, answer }: AdminServerOptions): CallerServer {
+export function createAdminServer ({ host, port, clock, answer, onLimitExceeded }: AdminServerOptions): CallerServer {
   return new CallerServer({
     host,
     port,
     clock,
     connectionsMaxCount: CONNECTIONS_MAX_COUNT,
     bounds: () => CALLER_LIMITS,
+    onLimitExceeded,
     onRequest: request => request.answer(toOutgoingAnswer(answer(request.head.target))),
     errorAnswer: statusCode => ({
       statusCode, statusText: 'Refused', headerText: '', body: EMPTY_BODY, hasLength: true
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -11,7 +11,7 @@
 import type { SlotsDb } from '../core/slots/slotsDb.js'
 import { slotsDefinition } from '../core/slots/slotsDefinition.js'
 import { SlotRefusal, type WaitingCall } from '../core/slots/slotsTypes.js'
-import type { Exchange, ExchangePool, ExchangeResult } from '../http/exchangePool.js'
+import { BrokenCause, type Exchange, type ExchangePool, type ExchangeResult } from '../http/exchangePool.js'
 import type { BackendAnswer, BackendDialect } from './backendDialect.js'
 import {
   UnknownOutcomeReason, RefusalReason, type DispatchedCall, type DispatchHandle, type DispatchListener,
@@ -368,8 +368,8 @@
     switch (result.kind) {
       case 'not_sent': return { kind: 'not_run', reason: RefusalReason.ConnectFailed, reachedBackend: false }
       case 'broken': {
-        const isMalformed = result.reason === 'malformed answer'
-        return { kind: 'unknown', reason: isMalformed ? UnknownOutcomeReason.MalformedAnswer : UnknownOutcomeReason.ConnectionLost }
+        const isLost = result.cause === BrokenCause.ConnectionLost
+        return { kind: 'unknown', reason: isLost ? UnknownOutcomeReason.ConnectionLost : UnknownOutcomeReason.MalformedAnswer }
       }
       case 'answered': {
         const answer = this.options.dialect.readAnswer(result.head)
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -1,6 +1,7 @@
 // Without the package's native addon, whose search and load take longer at the start than it saves on short strings.
 import { Packr } from 'msgpackr/pack'
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
+import { BodyBuffer } from '../http/bodyBuffer.js'
 import { plausiblePaceRatio } from '../core/placement/placementDetector.js'
 import type { ServerSignals } from '../core/placement/placementTypes.js'
 import type { SpreadId, TreeNumber } from '../core/spread/spreadTypes.js'
@@ -292,17 +293,18 @@
 
 /** Splits the byte stream of a connection into frames. */
 export class FrameReader {
-  #remainder: Buffer = Buffer.alloc(0)
-  #chunks: Buffer[] = []
-  #bufferedBytes = 0
+  /** The start of an incomplete frame. */
+  readonly #buffered = new BodyBuffer()
   #neededBytes = LENGTH_BYTES
 
   /** Returns the frames that are complete after this chunk. Throws if the bytes are not a valid frame. */
   read (chunk: Buffer): Frame[] {
-    this.#chunks.push(chunk)
-    this.#bufferedBytes += chunk.length
-    if (this.#bufferedBytes < this.#neededBytes) return []
-    const bytes = this.#chunks.length === 1 ? chunk : Buffer.concat(this.#chunks, this.#bufferedBytes)
+    let bytes = chunk
+    if (this.#buffered.lengthBytes > 0 || chunk.length < this.#neededBytes) {
+      this.#buffered.append(chunk)
+      if (this.#buffered.lengthBytes < this.#neededBytes) return []
+      bytes = this.#buffered.take()
+    }
     const frames: Frame[] = []
     let offset = 0
     this.#neededBytes = LENGTH_BYTES
@@ -317,9 +319,7 @@
       frames.push(decodeFields(packr.unpack(bytes.subarray(offset + LENGTH_BYTES, end)) as unknown[]))
       offset = end
     }
-    this.#remainder = bytes.subarray(offset)
-    this.#chunks = this.#remainder.length === 0 ? [] : [this.#remainder]
-    this.#bufferedBytes = this.#remainder.length
+    if (offset < bytes.length) this.#buffered.append(bytes.subarray(offset))
     return frames
   }
 }
--- /dev/null
+++ b/src/mesh/limitReporter.ts
@@ -0,0 +1,27 @@
+import type { LimitListener } from '../http/messageLimits.js'
+import type { NodeLog } from './nodeLog.js'
+import type { NodeMetrics } from './nodeMetrics.js'
+
+/** Kinds of peers whose connections have limits. */
+export enum LimitedPeer {
+  BackendServer = 'backend_server',
+  Caller = 'caller',
+  Operator = 'operator',
+  Store = 'store'
+}
+
+export type LimitReporter = (peer: LimitedPeer) => LimitListener
+
+/**
+ * Creates listeners that log and count each connection that is closed because a peer exceeded a limit. Peers decide
+ * how often that happens, so the lines are rate-limited.
+ *
+ * @example
+ * const onLimitExceeded = createLimitReporter(log, metrics)(LimitedPeer.Caller)
+ */
+export function createLimitReporter (log: NodeLog, metrics: NodeMetrics): LimitReporter {
+  return peer => limit => {
+    log.requestFailed('message_limit_exceeded', { peer, limit })
+    metrics.incrementCounter('message_limits_exceeded', { peer, limit })
+  }
+}
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -1,5 +1,4 @@
 import type { Millis } from '../clock/clock.js'
-import type { RandomSource } from '../core/coreTypes.js'
 import { chainAdmissionDefinition } from '../core/chainAdmission/chainAdmissionDefinition.js'
 import { configurationDefinition } from '../core/configuration/configurationDefinition.js'
 import { discoveryDefinition } from '../core/discovery/discoveryDefinition.js'
@@ -15,6 +14,8 @@
 import { EntryTask } from './entryTask.js'
 import { Executor } from './executor.js'
 import type { Hello } from './frames.js'
+import { createIncarnation } from './incarnation.js'
+import { createLimitReporter, LimitedPeer, type LimitReporter } from './limitReporter.js'
 import type { MeshNodeOptions } from './meshNodeTypes.js'
 import type { DispatchedCall, DispatchHandle, DispatchListener } from './meshTypes.js'
 import { registerNodeGauges } from './nodeGauges.js'
@@ -40,15 +41,6 @@
 /** Time at the end of the grace period for closing connections, before the process is killed. */
 const STOP_CLOSING_MARGIN_MS: Millis = 300
 
-/**
- * Random id of this process, 64 bits in hexadecimal. V8 seeds its random numbers from the operating system; the
- * module `node:crypto` would take 7 ms to load at each start.
- */
-function createIncarnation (random: RandomSource): string {
-  const half = (): string => Math.floor(random() * 2 ** 32).toString(16).padStart(8, '0')
-  return half() + half()
-}
-
 /** The sidecar of one backend server: wires its tasks together and holds the state they share. */
 export class MeshNode {
   readonly #options: MeshNodeOptions
@@ -73,6 +65,8 @@
   readonly #readyServer: CallerServer
   readonly #metricsServer: CallerServer | null
   readonly #metrics = new NodeMetrics()
+  /** Reports connections that are closed because a peer exceeded a limit. */
+  readonly reportLimits: LimitReporter
   #sweepTimer: NodeJS.Timeout | null = null
   #isStopping = false
   #stopStartedAtMs: Millis = 0
@@ -80,6 +74,7 @@
   constructor (options: MeshNodeOptions) {
     this.#options = options
     const { settings, clock, random, log } = options
+    this.reportLimits = createLimitReporter(log, this.#metrics)
     this.#hello = {
       incarnation: createIncarnation(random),
       ip: settings.ip,
@@ -144,7 +139,7 @@
     this.#executor = new Executor({
       clock,
       serviceName: settings.serviceName,
-      pool: createBackendPool(settings, clock, this.#configuration),
+      pool: createBackendPool(settings, clock, this.#configuration, this.reportLimits(LimitedPeer.BackendServer)),
       dialect: options.backendDialect,
       slots: this.#slots,
       fleetRetryBudget: this.#fleetRetryBudget,
@@ -170,7 +165,9 @@
       runningCall: requestId => this.#executor.runningById.get(requestId),
       dispatch: (server, call, listener) => this.#dispatch(server, call, listener)
     })
-    this.#callerServer = createCallerServer(options, this.#configuration, request => this.#entryTask.receive(request))
+    this.#callerServer = createCallerServer(
+      options, this.#configuration, request => this.#entryTask.receive(request), this.reportLimits(LimitedPeer.Caller)
+    )
     this.#peerServer = new PeerServer({
       host: settings.peerListen.ip,
       port: settings.peerListen.port,
@@ -185,8 +182,9 @@
         this.#announceTo(hello.ip)
       }
     })
-    this.#readyServer = createReadyServer(settings, clock, () => this.isReady)
-    this.#metricsServer = createMetricsServer(settings, clock, () => this.#metrics.renderText())
+    const onLimit = this.reportLimits(LimitedPeer.Operator)
+    this.#readyServer = createReadyServer(settings, clock, () => this.isReady, onLimit)
+    this.#metricsServer = createMetricsServer(settings, clock, () => this.#metrics.renderText(), onLimit)
     registerNodeGauges(this.#metrics, {
       chainAdmission: this.#chainAdmission,
       clock,
--- a/src/node/callServer.spec.ts
+++ b/src/node/callServer.spec.ts
@@ -80,6 +80,14 @@
   })
 })
 
+test('a body in very many small chunks is read over several turns and arrives whole', async () => {
+  await world.start(1)
+  world.backends[0]!.onCall = (_request, response, body) => { response.end(`got ${body.length}`) }
+  const raw = openRawConnection(world.nodes[0]!, `${POST_HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n`)
+  raw.socket.write('1\r\nx\r\n'.repeat(100_000) + '0\r\n\r\n')
+  expect(await raw.readUntilClosed()).toContain('got 100000')
+})
+
 test('an unknown caller is served under the policy of the default caller', async () => {
   await world.start(1)
   const headers = { 'ragwortspur-caller': 'nobody' }
--- a/src/node/callServer.ts
+++ b/src/node/callServer.ts
@@ -3,10 +3,13 @@
 import type { Socket } from 'node:net'
 import type { Millis } from '../clock/clock.js'
 import { Reason } from '../core/coreTypes.js'
+import { BodyBuffer } from '../http/bodyBuffer.js'
 import { refusalAnswer, refusalResponseText, Reply } from './reply.js'
 
 const HEAD_MAX_BYTES = 16_384
 const BODY_MAX_BYTES = 1_048_576
+/** Pieces of a body that are read in one turn of the event loop, so that very many small ones do not hold up others. */
+const PIECES_PER_TURN_MAX = 512
 /** Connections above the limit that still get an answer with the reason; any more are closed at once. */
 const REFUSED_CONNECTIONS_MAX_COUNT = 64
 
@@ -138,17 +141,26 @@
       this.#refuseRequest(message, new Reply(response), Reason.BodyTooLarge)
       return
     }
-    const chunks: Buffer[] = []
+    const body = new BodyBuffer()
     let sizeBytes = 0
+    let piecesCount = 0
     message.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.byteLength
-      if (sizeBytes <= BODY_MAX_BYTES) chunks.push(chunk)
-      else if (chunks.splice(0).length > 0) this.#refuseRequest(message, new Reply(response), Reason.BodyTooLarge)
+      piecesCount += 1
+      if (piecesCount % PIECES_PER_TURN_MAX === 0) {
+        message.pause()
+        setImmediate(() => message.resume())
+      }
+      if (sizeBytes <= BODY_MAX_BYTES) body.append(chunk)
+      else if (body.lengthBytes > 0) {
+        body.clear()
+        this.#refuseRequest(message, new Reply(response), Reason.BodyTooLarge)
+      }
     })
     message.on('end', () => {
-      if (sizeBytes <= BODY_MAX_BYTES) this.#deliverCall(message, Buffer.concat(chunks), response)
+      if (sizeBytes <= BODY_MAX_BYTES) this.#deliverCall(message, body.take(), response)
     })
-    message.on('error', () => chunks.splice(0))
+    message.on('error', () => body.clear())
   }
 
   #deliverCall (message: IncomingMessage, body: Uint8Array | null, response: ServerResponse): void {
--- a/src/node/poolCall.ts
+++ b/src/node/poolCall.ts
@@ -2,10 +2,13 @@
 import type { Dispatcher } from 'undici'
 import type { Millis } from '../clock/clock.js'
 import { Reason } from '../core/coreTypes.js'
+import { BodyBuffer } from '../http/bodyBuffer.js'
 import type { PoolConnection } from './poolConnection.js'
 import type { PoolAnswer, PoolFailureReason, PoolRequest } from './poolTypes.js'
 
 const CALL_HEADER = 'ragwortspur-call'
+/** Pieces of a body that are read in one turn of the event loop, so that very many small ones do not hold up others. */
+const PIECES_PER_TURN_MAX = 8_192
 
 /** The pool of a call, which is told how the call ended. */
 export interface CallOwner {
@@ -28,8 +31,8 @@
   readonly #answerMaxBytes: number
   #status = 0
   #headers: IncomingHttpHeaders = {}
-  #chunks: Buffer[] = []
-  #sizeBytes = 0
+  readonly #body = new BodyBuffer()
+  #piecesCount = 0
 
   constructor (request: PoolRequest, owner: CallOwner, answerMaxBytes: number, startedMs: Millis, isProbe: boolean) {
     this.request = request
@@ -63,18 +66,24 @@
     }
   }
 
-  onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.hasEnded) return
-    this.#sizeBytes += chunk.length
-    if (this.#sizeBytes > this.#answerMaxBytes) this.#fail(Reason.BodyTooLarge)
-    else this.#chunks.push(chunk)
+    if (this.#body.lengthBytes + chunk.length > this.#answerMaxBytes) {
+      this.#fail(Reason.BodyTooLarge)
+      return
+    }
+    this.#body.append(chunk)
+    this.#piecesCount += 1
+    if (this.#piecesCount % PIECES_PER_TURN_MAX !== 0) return
+    controller.pause()
+    setImmediate(() => controller.resume())
   }
 
   onResponseEnd (): void {
     if (this.hasEnded) return
     const { headers, setCookies } = flattenHeaders(this.#headers)
     const reusable = this.request.method !== 'HEAD' && !/\bclose\b/i.test(headers.connection ?? '')
-    const body = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks)
+    const body = this.#body.take()
     this.#owner.onAnswered(this, { status: this.#status, headers, setCookies, body }, reusable)
   }
 
