Pass on no request after one that the caller server refused

What callers saw: a request behind one that was refused in the same read was run, and its connection closed without an answer to it.

Cause: the head of the later request put the connection back from closing into the phase of a request.

Evidence: the test 'a request after one that is refused is not passed on' fails before the change. Why this works: heads are ignored once a connection closes.

--- a/src/http/callerServer.spec.ts
+++ b/src/http/callerServer.spec.ts
@@ -95,3 +95,15 @@
     expect(turnsCount).toBeGreaterThan(1)
   })
 })
+
+// The head of the second request reopened the connection that the first one had ended, so it was run without an answer.
+test('a request after one that is refused is not passed on', async () => {
+  let passedOnCount = 0
+  await startServer(() => { passedOnCount += 1 })
+  const tooLarge = `${POST}Transfer-Encoding: chunked\r\n\r\n3c00001\r\n`
+  const chunk = Buffer.alloc(60 * MIB + 1)
+  expect((await send(tooLarge, chunk, `\r\n0\r\n\r\n${POST}Content-Length: 0\r\n\r\n`)).slice(0, 12)).toMatch(/^(HTTP\/1.1 413)?$/)
+  const declared = `${POST}Content-Length: ${70 * MIB}\r\n\r\n`
+  await send(declared)
+  expect(passedOnCount).toBe(0)
+})
--- a/src/http/callerServer.ts
+++ b/src/http/callerServer.ts
@@ -153,6 +153,8 @@
   }
 
   #onHead (head: MessageHead): boolean {
+    // Bytes after a rejected request may look like another one.
+    if (this.#phase === 'closing') return false
     this.#head = head
     if (this.#phase !== 'waiting') this.#enterPhase('body')
     const lengthBytes = Number(headerValue(head.headers, 'content-length') ?? 0)
