Send a refused request once more on another connection only

Cause: answers are matched by the id of the request. A refused request is sent to the same server again with the same id, mostly on the same connection, where a late copy of the refusal looks like the answer to the second send. An answer without an id was taken for that of any request, in ragwortspur-node too.

Why this works: a connection that has carried a refused request does not carry it again, so all answers with its id on a connection belong to one send.

--- a/src/http/exchangePool.spec.ts
+++ b/src/http/exchangePool.spec.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import { systemClock } from '../clock/clock.js'
-import { BrokenCause, ExchangePool, type ExchangeRequest, type ExchangeResult } from './exchangePool.js'
+import { AnswerMatch, BrokenCause, ExchangePool, type ExchangeRequest, type ExchangeResult } from './exchangePool.js'
 import type { MessageHead } from './messageParser.js'
 import { MessageLimit } from './messageLimits.js'
 import { headerValue } from './messageText.js'
@@ -12,7 +12,9 @@
 /** Server that handles each connection with a function, and a pool of connections to it. */
 class PoolFixture {
   readonly limits: MessageLimit[] = []
+  readonly foreignAnswers: AnswerMatch[] = []
   connectionsCount = 0
+  connectionsMaxCount = 100
   pool!: ExchangePool
   readonly #sockets = new Set<Socket>()
   readonly #server: Server
@@ -38,8 +40,9 @@
       idleMaxMs: 5_000,
       answerMaxBytes: 4 * MIB,
       answersMaxBytes: 6 * MIB,
-      connectionsMaxCount: () => 100,
-      onLimitExceeded: limit => { this.limits.push(limit) }
+      connectionsMaxCount: () => this.connectionsMaxCount,
+      onLimitExceeded: limit => { this.limits.push(limit) },
+      onForeignAnswer: match => { this.foreignAnswers.push(match) }
     })
     return this
   }
@@ -48,9 +51,13 @@
     return new Promise(resolve => {
       this.pool.send({
         bytes: Buffer.from(`GET /${id} HTTP/1.1\r\n\r\n`),
-        needsFreshConnection: false,
         isHead: false,
-        isOwnAnswer: (head: MessageHead) => headerValue(head.headers, 'id') === id,
+        requestId: id,
+        matchAnswer: (head: MessageHead) => {
+          const echoedId = headerValue(head.headers, 'id')
+          if (echoedId === undefined) return AnswerMatch.Unidentified
+          return echoedId === id ? AnswerMatch.Own : AnswerMatch.OtherRequest
+        },
         onResult: resolve,
         ...options
       })
@@ -144,3 +151,67 @@
     expect(fixture.connectionsCount).toBe(1)
   })
 })
+
+describe('answers that repeat an earlier one', () => {
+  const REFUSAL = 'HTTP/1.1 503 Refused\r\nid: a\r\nContent-Length: 0\r\n\r\n'
+  const SERVED = `${HEAD}Content-Length: 0\r\n\r\n`
+
+  function statusOf (result: ExchangeResult): number {
+    return result.kind === 'answered' ? result.head.statusCode : 0
+  }
+
+  // The late copy was taken for the answer to the second send, which ran although its caller was told it had not.
+  test('a request that was refused is not sent once more on the connection on which a copy may come', async () => {
+    let runsCount = 0
+    await startPool((socket, _text, number) => {
+      if (number > 0) socket.write(REFUSAL)
+      else if (fixture.connectionsCount === 1) {
+        socket.write(REFUSAL)
+        return
+      }
+      runsCount += 1
+      socket.write(SERVED)
+    })
+    expect(statusOf(await fixture.send('a'))).toBe(503)
+    expect(statusOf(await fixture.send('a'))).toBe(200)
+    expect({ runsCount, connectionsCount: fixture.connectionsCount }).toEqual({ runsCount: 1, connectionsCount: 2 })
+  })
+
+  test('a full pool closes a connection that carried the request to open another one', async () => {
+    await startPool(socket => socket.write(fixture.connectionsCount === 1 ? REFUSAL : SERVED))
+    fixture.connectionsMaxCount = 1
+    expect(statusOf(await fixture.send('a'))).toBe(503)
+    expect(statusOf(await fixture.send('a'))).toBe(200)
+  })
+
+  test('the connection goes on to carry other requests, up to the number of refusals that it remembers', async () => {
+    await startPool((socket, text) => {
+      const id = /GET \/(\w+)/.exec(text)![1]!
+      socket.write(REFUSAL.replace('id: a', `id: ${id}`))
+    })
+    for (let count = 0; count < 256; count++) await fixture.send(`r${count}`)
+    expect(fixture.connectionsCount).toBe(1)
+    for (let count = 256; count < 260; count++) await fixture.send(`r${count}`)
+    expect(fixture.connectionsCount).toBe(2)
+  })
+
+  // A refusal without an id, written once more, was taken for the answer to whichever request came next.
+  test('an answer that names no request counts as an answer on a new connection only', async () => {
+    const nameless = REFUSAL.replace('id: a\r\n', '')
+    await startPool((socket, _text, number) => {
+      socket.write(number === 0 ? nameless : nameless + SERVED)
+    })
+    expect(statusOf(await fixture.send('b'))).toBe(503)
+    expect(await fixture.send('a')).toMatchObject({ kind: 'broken', cause: BrokenCause.Malformed })
+    expect(fixture.foreignAnswers).toEqual([AnswerMatch.Unidentified, AnswerMatch.Unidentified])
+  })
+
+  test('a late copy of the answer to another request is skipped', async () => {
+    await startPool((socket, _text, number) => {
+      socket.write(number === 0 ? REFUSAL : REFUSAL + SERVED.replace('id: a', 'id: b'))
+    })
+    expect(statusOf(await fixture.send('a'))).toBe(503)
+    expect(statusOf(await fixture.send('b'))).toBe(200)
+    expect(fixture.foreignAnswers).toEqual([AnswerMatch.OtherRequest])
+  })
+})
--- a/src/http/exchangePool.ts
+++ b/src/http/exchangePool.ts
@@ -1,11 +1,17 @@
 import { connect, type Socket } from 'node:net'
-import type { Clock, Millis } from '../clock/clock.js'
+import type { Millis } from '../clock/clock.js'
+import { hash32 } from '../core/hash.js'
 import { BodyBuffer } from './bodyBuffer.js'
-import { MessageLimit, MessageLimitError, type LimitListener } from './messageLimits.js'
+import {
+  AnswerMatch, BrokenCause, type Exchange, type ExchangePoolOptions, type ExchangeRequest
+} from './exchangeTypes.js'
+import { MessageLimit, MessageLimitError } from './messageLimits.js'
 import { MessageParser, type MessageHead } from './messageParser.js'
 import { keepAliveSeconds } from './messageText.js'
 import { PacedReader } from './pacedReader.js'
 
+export * from './exchangeTypes.js'
+
 /** Largest accepted answer head; no correct backend server sends a larger one. */
 const ANSWER_HEAD_MAX_BYTES = 65_536
 /** Interim answers and answers to other requests that are skipped before the answer to a request. */
@@ -16,58 +22,11 @@
  */
 const KEEP_ALIVE_MARGIN_MS: Millis = 1_000
 
-/** Why a request that was written got no complete answer. */
-export enum BrokenCause {
-  ConnectionLost = 'connection_lost',
-  /** The server sent bytes that are not an answer. */
-  Malformed = 'malformed',
-  /** The server sent more than a limit allows. */
-  LimitExceeded = 'limit_exceeded'
-}
-
-/** Result of a request on a connection. */
-export type ExchangeResult =
-  | { readonly kind: 'answered', readonly head: MessageHead, readonly body: Buffer, readonly tookMs: Millis }
-  /** No byte of the request was written. */
-  | { readonly kind: 'not_sent', readonly reason: string }
-  /** The request was written but got no complete answer; it may have run. */
-  | {
-    readonly kind: 'broken'
-    readonly cause: BrokenCause
-    readonly reason: string
-    readonly onReused: boolean
-    readonly answerBegan: boolean
-  }
-
-export interface ExchangeRequest {
-  /** The encoded request, head and body. */
-  readonly bytes: Buffer
-  readonly isHead: boolean
-  /** Whether an answer belongs to this request. Any other answer is skipped, and the next one is awaited. */
-  readonly isOwnAnswer: (head: MessageHead) => boolean
-  readonly onResult: (result: ExchangeResult) => void
-  /** Set for requests that must not be sent twice; the pool does not evaluate it yet. */
-  readonly needsFreshConnection: boolean
-}
-
-export interface ExchangePoolOptions {
-  readonly host: string
-  readonly port: number
-  readonly clock: Clock
-  readonly connectTimeoutMs: Millis
-  /** Idle time after which a connection is closed if the server announces no keep-alive timeout. */
-  readonly idleMaxMs: Millis
-  readonly answerMaxBytes: number
-  /** Limit on the bodies of all answers that are being received. */
-  readonly answersMaxBytes: number
-  readonly connectionsMaxCount: () => number
-  readonly onLimitExceeded: LimitListener
-}
-
-/** A request in flight. Cancelling it closes its connection, from which the server can tell that it may stop. */
-export interface Exchange {
-  cancel (): void
-}
+/**
+ * Refused requests that a connection remembers. It is closed above that, since a connection must not carry a refused
+ * request again: the id would not tell a late copy of the refusal from the answer.
+ */
+const REFUSED_MAX_COUNT = 256
 
 class ExchangeConnection implements Exchange {
   readonly #pool: ExchangePool
@@ -83,6 +42,8 @@
   #skippedAnswersCount = 0
   #skippedBytes = 0
   #requestsCount = 0
+  /** Hashes of the ids of requests that got no success on this connection. */
+  readonly #refusedIds = new Set<number>()
   #onProbed: ((isOpen: boolean) => void) | null
   #isOpen = false
   #isClosed = false
@@ -179,16 +140,41 @@
   #onHead (head: MessageHead): boolean {
     const request = this.#request
     if (request === null) return false
-    const isInterim = head.statusCode < 200
-    this.#isSkippingAnswer = isInterim || !request.isOwnAnswer(head)
-    if (this.#isSkippingAnswer) {
-      this.#hasSkippedAnswer ||= !isInterim
-      this.#skippedAnswersCount += 1
-      if (this.#skippedAnswersCount > SKIPPED_ANSWERS_MAX_COUNT) this.failByLimit(MessageLimit.SkippedAnswers)
-    } else this.#head = head
+    if (head.statusCode < 200) this.#skipAnswer()
+    else this.#matchAnswer(request, head)
     return request.isHead
   }
 
+  #matchAnswer (request: ExchangeRequest, head: MessageHead): void {
+    const match = request.matchAnswer(head)
+    if (match !== AnswerMatch.Own) this.#pool.options.onForeignAnswer(match)
+    switch (match) {
+      case AnswerMatch.Own:
+        this.#isSkippingAnswer = false
+        this.#head = head
+        return
+      case AnswerMatch.OtherRequest:
+        this.#hasSkippedAnswer = true
+        this.#skipAnswer()
+        return
+      case AnswerMatch.Unidentified:
+        this.#isSkippingAnswer = false
+        if (this.#requestsCount === 1 && !this.#hasSkippedAnswer) this.#head = head
+        else this.#fail('answer names no request', BrokenCause.Malformed)
+    }
+  }
+
+  #skipAnswer (): void {
+    this.#isSkippingAnswer = true
+    this.#skippedAnswersCount += 1
+    if (this.#skippedAnswersCount > SKIPPED_ANSWERS_MAX_COUNT) this.failByLimit(MessageLimit.SkippedAnswers)
+  }
+
+  /** Whether a request with this id was sent on this connection and may be sent once more. */
+  hasRefused (requestId: string): boolean {
+    return this.#refusedIds.size > 0 && this.#refusedIds.has(hash32(requestId, 0))
+  }
+
   #onBody (chunk: Buffer): void {
     if (this.#request === null) return
     const { answerMaxBytes } = this.#pool.options
@@ -217,9 +203,10 @@
     const body = this.#body.take()
     const seconds = keepAliveSeconds(head)
     if (seconds !== undefined) this.idleMaxMs = Math.max(0, seconds * 1000 - KEEP_ALIVE_MARGIN_MS)
+    if (request.requestId !== null && head.statusCode >= 300) this.#refusedIds.add(hash32(request.requestId, 0))
     // The connection is also not reusable if the answer arrived before the request body was completely written.
     const isReusable = head.keepAlive && head.hasLength && restBytes === 0 && !this.#hasSkippedAnswer &&
-      this.#socket.writableLength === 0 && !this.#isClosed
+      this.#socket.writableLength === 0 && this.#refusedIds.size <= REFUSED_MAX_COUNT && !this.#isClosed
     if (isReusable) {
       this.idleSinceMs = nowMs
       this.#pool.addIdle(this)
@@ -265,7 +252,7 @@
  *
  * @example
  * const pool = new ExchangePool({ host: '127.0.0.1', port: 8301, clock, ...bounds })
- * pool.send({ bytes, isHead: false, isOwnAnswer: () => true, onResult, needsFreshConnection: false })
+ * pool.send({ bytes, isHead: false, requestId: null, matchAnswer: () => AnswerMatch.Own, onResult })
  */
 export class ExchangePool {
   readonly options: ExchangePoolOptions
@@ -281,9 +268,12 @@
     return this.#connections.size
   }
 
-  /** Sends a request, or returns undefined when no connection may be opened for it. */
+  /**
+   * Sends a request, or returns undefined when no connection may be opened for it. A request that is sent once more
+   * goes over a connection that has not carried it, since a late copy of its refusal has the same id as its answer.
+   */
   send (request: ExchangeRequest): Exchange | undefined {
-    const connection = this.#takeIdleConnection() ?? this.#openConnection()
+    const connection = this.#takeIdleConnection(request.requestId) ?? this.#openConnection()
     connection?.start(request)
     return connection
   }
@@ -332,13 +322,19 @@
     return nowMs - connection.idleSinceMs >= connection.idleMaxMs
   }
 
-  #takeIdleConnection (): ExchangeConnection | undefined {
+  #takeIdleConnection (requestId: string | null): ExchangeConnection | undefined {
     const nowMs = this.options.clock.monotonicMs()
-    for (;;) {
-      const connection = this.#idleConnections.pop()
-      if (connection === undefined || !this.#isStale(connection, nowMs)) return connection
-      connection.close()
+    for (let at = this.#idleConnections.length - 1; at >= 0; at--) {
+      const connection = this.#idleConnections[at]!
+      if (this.#isStale(connection, nowMs)) connection.close()
+      else if (requestId === null || !connection.hasRefused(requestId)) {
+        this.#idleConnections.splice(at, 1)
+        return connection
+      }
     }
+    // The idle connections that are left carried this request. One makes room for a new one.
+    if (this.#connections.size >= this.options.connectionsMaxCount()) this.#idleConnections[0]?.close()
+    return undefined
   }
 
   #openConnection (onProbed: ((isOpen: boolean) => void) | null = null): ExchangeConnection | undefined {
--- a/src/mesh/backendDialect.ts
+++ b/src/mesh/backendDialect.ts
@@ -1,4 +1,5 @@
 import type { Millis } from '../clock/clock.js'
+import type { AnswerMatch } from '../http/exchangePool.js'
 import type { MessageHead } from '../http/messageParser.js'
 import type { DispatchedCall } from './meshTypes.js'
 
@@ -34,6 +35,6 @@
    */
   encodeRequest (call: DispatchedCall, remainingMs: Millis, serverId: string): Buffer
   /** Whether the answer belongs to the request, by the request id that the answer repeats, if it has one. */
-  isAnswerTo (head: MessageHead, requestId: string): boolean
+  matchAnswer (head: MessageHead, requestId: string): AnswerMatch
   readAnswer (head: MessageHead): BackendAnswer
 }
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -107,8 +107,8 @@
     this.#exchange = pool.send({
       bytes: dialect.encodeRequest(this.call, remainingMs, this.#executor.serverId),
       isHead: this.call.method === 'HEAD',
-      isOwnAnswer: head => dialect.isAnswerTo(head, this.call.requestId),
-      needsFreshConnection: !this.call.mayRepeat,
+      requestId: this.call.requestId,
+      matchAnswer: head => dialect.matchAnswer(head, this.call.requestId),
       onResult: result => this.#onResult(result)
     })
     if (this.#exchange === undefined) {
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -15,7 +15,7 @@
 import { Executor } from './executor.js'
 import type { Hello } from './frames.js'
 import { createIncarnation } from './incarnation.js'
-import { createLimitReporter, LimitedPeer, type LimitReporter } from './limitReporter.js'
+import { createForeignAnswerReporter, createLimitReporter, LimitedPeer, type LimitReporter } from './peerReports.js'
 import type { MeshNodeOptions } from './meshNodeTypes.js'
 import type { DispatchedCall, DispatchHandle, DispatchListener } from './meshTypes.js'
 import { registerNodeGauges } from './nodeGauges.js'
@@ -65,7 +65,6 @@
   readonly #readyServer: CallerServer
   readonly #metricsServer: CallerServer | null
   readonly #metrics = new NodeMetrics()
-  /** Reports connections that are closed because a peer exceeded a limit. */
   readonly reportLimits: LimitReporter
   #sweepTimer: NodeJS.Timeout | null = null
   #isStopping = false
@@ -139,7 +138,10 @@
     this.#executor = new Executor({
       clock,
       serviceName: settings.serviceName,
-      pool: createBackendPool(settings, clock, this.#configuration, this.reportLimits(LimitedPeer.BackendServer)),
+      pool: createBackendPool(settings, clock, this.#configuration, {
+        onLimitExceeded: this.reportLimits(LimitedPeer.BackendServer),
+        onForeignAnswer: createForeignAnswerReporter(log, this.#metrics)
+      }),
       dialect: options.backendDialect,
       slots: this.#slots,
       fleetRetryBudget: this.#fleetRetryBudget,
@@ -182,9 +184,9 @@
         this.#announceTo(hello.ip)
       }
     })
-    const onLimit = this.reportLimits(LimitedPeer.Operator)
-    this.#readyServer = createReadyServer(settings, clock, () => this.isReady, onLimit)
-    this.#metricsServer = createMetricsServer(settings, clock, () => this.#metrics.renderText(), onLimit)
+    const onOperatorLimit = this.reportLimits(LimitedPeer.Operator)
+    this.#readyServer = createReadyServer(settings, clock, () => this.isReady, onOperatorLimit)
+    this.#metricsServer = createMetricsServer(settings, clock, () => this.#metrics.renderText(), onOperatorLimit)
     registerNodeGauges(this.#metrics, {
       chainAdmission: this.#chainAdmission,
       clock,
--- a/src/mesh/nodeServers.ts
+++ b/src/mesh/nodeServers.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationDb } from '../core/configuration/configurationDb.js'
 import type { CallerLimits } from '../core/configuration/configurationTypes.js'
 import { CallerServer, type IncomingRequest } from '../http/callerServer.js'
-import { ExchangePool } from '../http/exchangePool.js'
+import { ExchangePool, type ExchangePoolOptions } from '../http/exchangePool.js'
 import type { LimitListener } from '../http/messageLimits.js'
 import { createAdminServer } from './adminServer.js'
 import { OWN_ANSWER_BY_STATUS } from './callerDialect.js'
@@ -26,7 +26,8 @@
 
 /** Connections to the node's own backend server. */
 export function createBackendPool (
-  settings: MeshNodeSettings, clock: Clock, configuration: ConfigurationDb, onLimitExceeded: LimitListener
+  settings: MeshNodeSettings, clock: Clock, configuration: ConfigurationDb,
+  listeners: Pick<ExchangePoolOptions, 'onLimitExceeded' | 'onForeignAnswer'>
 ): ExchangePool {
   return new ExchangePool({
     host: settings.backend.ip,
@@ -36,7 +37,7 @@
     idleMaxMs: BACKEND_IDLE_MAX_MS,
     answerMaxBytes: ANSWER_MAX_BYTES,
     answersMaxBytes: ANSWERS_MAX_BYTES,
-    onLimitExceeded,
+    ...listeners,
     connectionsMaxCount: () => {
       return configuration.current?.services.get(settings.serviceName)?.connectionsMaxCount ??
         BACKEND_CONNECTIONS_BEFORE_CONFIGURATION_COUNT
--- a/src/mesh/limitReporter.ts
+++ b/src/mesh/peerReports.ts
@@ -1,3 +1,4 @@
+import type { AnswerMatch } from '../http/exchangePool.js'
 import type { LimitListener } from '../http/messageLimits.js'
 import type { NodeLog } from './nodeLog.js'
 import type { NodeMetrics } from './nodeMetrics.js'
@@ -25,3 +26,11 @@
     metrics.incrementCounter('message_limits_exceeded', { peer, limit })
   }
 }
+
+/** Creates a listener that logs and counts answers of the backend server that belong to no waiting request. */
+export function createForeignAnswerReporter (log: NodeLog, metrics: NodeMetrics): (match: AnswerMatch) => void {
+  return match => {
+    log.requestFailed('foreign_answer', { match })
+    metrics.incrementCounter('foreign_answers', { match })
+  }
+}
--- a/src/node/backendLink.ts
+++ b/src/node/backendLink.ts
@@ -44,7 +44,7 @@
   constructor (options: BackendLinkOptions) {
     this.#options = options
     this.#pool = new ConnectionPool(options.address, {
-      clock: options.clock, connectionsMaxCount: options.connectionsMaxCount
+      clock: options.clock, connectionsMaxCount: options.connectionsMaxCount, identifiesAnswers: true
     })
   }
 
--- a/src/node/connectionPool.ts
+++ b/src/node/connectionPool.ts
@@ -88,7 +88,7 @@
   }
 
   #startCall (request: PoolRequest, cancellation: Cancellation | undefined, isProbe: boolean): Promise<PoolResult> {
-    const call = new PoolCall(request, this, this.#bounds.answerMaxBytes, this.#clock.monotonicMs(), isProbe)
+    const call = new PoolCall(request, this, this.#bounds, this.#clock.monotonicMs(), isProbe)
     return new Promise(resolve => {
       const timeoutMs = Math.min(Math.max(request.timeoutMs, 0), TIMER_MAX_MS)
       const timer = setTimeout(() => this.#onTimeout(call), timeoutMs)
@@ -141,9 +141,9 @@
   }
 
   #probeConnection (connection: PoolConnection): void {
-    const { probePath, probeTimeoutMs, answerMaxBytes } = this.#bounds
+    const { probePath, probeTimeoutMs } = this.#bounds
     const request = this.#buildProbeRequest(probePath, probeTimeoutMs)
-    const call = new PoolCall(request, this, answerMaxBytes, this.#clock.monotonicMs(), true)
+    const call = new PoolCall(request, this, this.#bounds, this.#clock.monotonicMs(), true)
     // The probe tests this connection, so it must not be moved to another one.
     call.resendsCount = RESENDS_MAX_COUNT
     const timer = setTimeout(() => this.#onTimeout(call), probeTimeoutMs)
--- a/src/node/poolCall.ts
+++ b/src/node/poolCall.ts
@@ -4,7 +4,7 @@
 import { Reason } from '../core/coreTypes.js'
 import { BodyBuffer } from '../http/bodyBuffer.js'
 import type { PoolConnection } from './poolConnection.js'
-import type { PoolAnswer, PoolFailureReason, PoolRequest } from './poolTypes.js'
+import type { PoolAnswer, PoolBounds, PoolFailureReason, PoolRequest } from './poolTypes.js'
 
 const CALL_HEADER = 'ragwortspur-call'
 /** Pieces of a body that are read in one turn of the event loop, so that very many small ones do not hold up others. */
@@ -29,15 +29,20 @@
   hasEnded = false
   readonly #owner: CallOwner
   readonly #answerMaxBytes: number
+  readonly #identifiesAnswers: boolean
   #status = 0
   #headers: IncomingHttpHeaders = {}
   readonly #body = new BodyBuffer()
   #piecesCount = 0
 
-  constructor (request: PoolRequest, owner: CallOwner, answerMaxBytes: number, startedMs: Millis, isProbe: boolean) {
+  constructor (
+    request: PoolRequest, owner: CallOwner, bounds: Pick<PoolBounds, 'answerMaxBytes' | 'identifiesAnswers'>,
+    startedMs: Millis, isProbe: boolean
+  ) {
     this.request = request
     this.#owner = owner
-    this.#answerMaxBytes = answerMaxBytes
+    this.#answerMaxBytes = bounds.answerMaxBytes
+    this.#identifiesAnswers = bounds.identifiesAnswers
     this.startedAtMs = startedMs
     this.isProbe = isProbe
   }
@@ -58,14 +63,23 @@
     if (this.hasEnded || status < 200) return
     this.#status = status
     this.#headers = headers
-    const echo = headers[CALL_HEADER]
-    if (echo !== undefined && echo !== this.request.headers[CALL_HEADER]) this.#fail(Reason.AnswerCrossed)
+    if (this.#isCrossed(headers[CALL_HEADER])) this.#fail(Reason.AnswerCrossed)
     else if (!this.#isSelfDelimited()) this.#fail(Reason.AnswerTruncated)
     else if (Number(headers['content-length'] ?? 0) > this.#answerMaxBytes && this.request.method !== 'HEAD') {
       this.#fail(Reason.BodyTooLarge)
     }
   }
 
+  /**
+   * Whether an answer belongs to another request. One that names no request belongs to this one only if no answer on
+   * its connection named any: it may otherwise be an earlier refusal that the server has written once more.
+   */
+  #isCrossed (echo: string | string[] | undefined): boolean {
+    if (echo === undefined) return !this.isProbe && this.connection?.identifiesAnswers === true
+    if (this.connection !== null && this.#identifiesAnswers) this.connection.identifiesAnswers = true
+    return echo !== this.request.headers[CALL_HEADER]
+  }
+
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.hasEnded) return
     if (this.#body.lengthBytes + chunk.length > this.#answerMaxBytes) {
--- a/src/node/poolConnection.ts
+++ b/src/node/poolConnection.ts
@@ -48,6 +48,8 @@
   readonly #socket: Socket
   #isAttached = false
   #isClosed = false
+  /** Whether an answer on this connection named its request, so that all others have to. */
+  identifiesAnswers = false
   /** When the last complete answer arrived, or when the connection was opened. */
   lastReceivedAtMs: Millis
 
--- a/src/node/poolTypes.ts
+++ b/src/node/poolTypes.ts
@@ -69,6 +69,8 @@
   readonly connectsPerS: number
   readonly connectBurstCount: number
   readonly answerMaxBytes: number
+  /** Whether a server that has named the request of an answer names that of each further one. */
+  readonly identifiesAnswers: boolean
   /** An idle connection that has received nothing for longer is probed before it carries a call. */
   readonly idleProbeAfterMs: Millis
   /** The same limit for connections that have received nothing since a call to this address timed out. */
@@ -94,6 +96,7 @@
   connectsPerS: 200,
   connectBurstCount: 64,
   answerMaxBytes: 1_048_576,
+  identifiesAnswers: false,
   idleProbeAfterMs: 5000,
   idleProbeAfterTimeoutMs: 1000,
   probePath: '/health',
