Send a call only to the server that the list gives to its service

Cause: the node took the id in any answer, also in a 421, for that of its own server and expected it in all further requests, in place of the id that the sender had chosen from the list. Without a list it expected none.

Why this works: only ids from the list are expected, and only the list says to which service a server belongs. A 421 is its own reason, server_replaced, and nothing else that it says is used.

--- a/src/mesh/backendDialect.ts
+++ b/src/mesh/backendDialect.ts
@@ -7,6 +7,8 @@
 export interface BackendAnswer {
   /** The backend server did not execute the request, so it is safe to send it again. */
   readonly notExecuted: boolean
+  /** The address has a backend server other than the one named in the request, perhaps of another service. */
+  readonly isOtherServer: boolean
   /** Number of requests that the backend server says it can run at once, or 0 when it states none. */
   readonly slotsCount: number
   /** Number of requests that the backend server says are running, or 0 when it states none. */
--- a/src/mesh/dispatchResults.ts
+++ b/src/mesh/dispatchResults.ts
@@ -1,6 +1,6 @@
 import type { ExchangeResult } from '../http/exchangePool.js'
 import type { BackendAnswer } from './backendDialect.js'
-import { UnknownOutcomeReason, type DispatchResult } from './meshTypes.js'
+import { RefusalReason, UnknownOutcomeReason, type DispatchResult } from './meshTypes.js'
 
 /** Status of an answer by which a server says that it cannot serve the request now (RFC 9110, section 15.6.4). */
 const SERVICE_UNAVAILABLE_STATUS = 503
@@ -15,7 +15,7 @@
 export function isRefusedSend (result: DispatchResult, hasFailedSubCall: boolean): boolean | null {
   switch (result.kind) {
     case 'answered': return result.statusCode === SERVICE_UNAVAILABLE_STATUS && !hasFailedSubCall
-    case 'not_run': return result.reachedBackend ? true : null
+    case 'not_run': return result.reachedBackend && result.reason !== RefusalReason.ServerReplaced ? true : null
     case 'unknown': return null
   }
 }
--- a/src/mesh/entryCall.ts
+++ b/src/mesh/entryCall.ts
@@ -90,6 +90,16 @@
     this.reachedSendsCount += 1
   }
 
+  /** Records that a server refused the call. One that has replaced the chosen server never runs it. */
+  recordRefusedBy (server: ListedServer, reason: RefusalReason): void {
+    if (reason === RefusalReason.ServerReplaced) {
+      this.reachedSendsCount += 1
+      return
+    }
+    this.recordReached(server)
+    this.refusedByServerIds.add(server.serverId)
+  }
+
   get openAttempts (): Attempt[] {
     return this.attempts.filter(attempt => attempt.handle !== null)
   }
--- a/src/mesh/entryTask.ts
+++ b/src/mesh/entryTask.ts
@@ -195,10 +195,7 @@
         return
       case 'not_run':
         call.lastRefusal = result.reason
-        if (result.reachedBackend) {
-          call.recordReached(attempt.server)
-          call.refusedByServerIds.add(attempt.server.serverId)
-        }
+        if (result.reachedBackend) call.recordRefusedBy(attempt.server, result.reason)
         this.#retryAfterRefusal(call, result.reachedBackend)
         return
       case 'unknown':
@@ -386,6 +383,7 @@
   switch (result.kind) {
     case 'answered': return result.statusCode >= SERVER_ERROR_STATUS_MIN ? SendOutcome.Failed : SendOutcome.Served
     case 'not_run': {
+      if (result.reason === RefusalReason.ServerReplaced) return SendOutcome.Lost
       if (result.reachedBackend) return SendOutcome.Shed
       return result.reason === RefusalReason.ConnectFailed ? SendOutcome.Lost : SendOutcome.Refused
     }
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -22,6 +22,7 @@
 import { LimitLog } from './limitLog.js'
 import type { NodeLog } from './nodeLog.js'
 import type { NodeMetrics } from './nodeMetrics.js'
+import { OwnServer } from './ownServer.js'
 import { PaceAverage } from './paceAverage.js'
 
 /** A call with less time left than this cannot be answered in time. */
@@ -105,7 +106,7 @@
     fleetRetryBudgetDefinition.recordArrival(fleetRetryBudget, this.call.traceContext.isRetry, this.#startedAtMs)
     rateLimitDefinition.recordSend(slots.rateLimit, this.call.traceContext.isRetry, this.#startedAtMs)
     this.#exchange = pool.send({
-      bytes: dialect.encodeRequest(this.call, remainingMs, this.#executor.serverId),
+      bytes: dialect.encodeRequest(this.call, remainingMs, this.#executor.ownServer.expectedIdFor(this.call)),
       isHead: this.call.method === 'HEAD',
       requestId: this.call.requestId,
       matchAnswer: head => dialect.matchAnswer(head, this.call.requestId),
@@ -174,10 +175,7 @@
   readonly runningById = new Map<string, Execution>()
   /** How many of the recent sends the backend server refused. */
   readonly refusedSends = refusedSendsDefinition.createDb()
-  /** Id of the current incarnation of this node's backend server, or empty while it is unknown. */
-  serverId = ''
-  /** Unix time of the start of this incarnation, 0 if unknown. */
-  #startedAtWallMs: Millis = 0
+  readonly ownServer: OwnServer
   /** Executions submitted in this turn of the event loop, not yet enqueued for a slot. */
   #submitted: Execution[] = []
   #isStopping = false
@@ -189,6 +187,7 @@
   constructor (options: ExecutorOptions) {
     this.options = options
     this.#limitLog = new LimitLog(options.log)
+    this.ownServer = new OwnServer(options.log)
   }
 
   /** Load of this node's backend server and the usage of one call: its slot time here and that of its sub-calls. */
@@ -221,7 +220,8 @@
   #getSignals (nowMs: Millis): ServerSignals {
     const { rateLimit, queue } = this.options.slots
     const { limitPerS, hasAnswered } = rateLimit
-    const server = { serverId: this.serverId, startedAtWallMs: this.#startedAtWallMs }
+    const { listedId, startedAtWallMs } = this.ownServer
+    const server = { serverId: listedId, startedAtWallMs }
     if (this.#isServerDeparting) return { kind: 'departing', ...server }
     if (limitPerS === null) return { kind: hasAnswered ? 'none' : 'unknown' }
     return {
@@ -233,11 +233,8 @@
   }
 
   /** Takes over the list entry of this node's backend server. What a former incarnation asked for no longer holds. */
-  setListedServer ({ serverId, startedAtWallMs }: ListedServer): void {
-    const isOtherStart = startedAtWallMs !== this.#startedAtWallMs && this.#startedAtWallMs !== 0
-    if (this.serverId !== '' && (serverId !== this.serverId || isOtherStart)) this.#resetSignals()
-    this.serverId = serverId
-    this.#startedAtWallMs = startedAtWallMs
+  setListedServer (server: ListedServer): void {
+    if (this.ownServer.setListed(server)) this.#resetSignals()
   }
 
   #resetSignals (): void {
@@ -288,18 +285,11 @@
   /** Adopts the limit that the sender knows, while this process has no answer of the server yet. */
   #adoptLimit ({ knownLimitPerS, serverId }: DispatchedCall): void {
     const { clock, log, slots } = this.options
-    if (knownLimitPerS === null || (this.serverId !== '' && serverId !== this.serverId)) return
+    if (knownLimitPerS === null || (this.ownServer.listedId !== '' && serverId !== this.ownServer.listedId)) return
     if (!rateLimitDefinition.adoptLimit(slots.rateLimit, knownLimitPerS, clock.monotonicMs())) return
     log.event('server_limit', { change: 'adopted', server: serverId, limit_per_s: knownLimitPerS, before: 'none' })
   }
 
-  #setServerId (serverId: string): void {
-    this.options.log.event('own_server_changed', { server: serverId, before: this.serverId })
-    if (this.serverId !== '') this.#resetSignals()
-    this.serverId = serverId
-    this.#startedAtWallMs = 0
-  }
-
   #refusalReason (call: DispatchedCall): RefusalReason | null {
     if (call.serviceName !== this.options.serviceName) return RefusalReason.WrongService
     if (this.#isStopping) return RefusalReason.NotAccepting
@@ -337,7 +327,7 @@
     slotsDefinition.refuseExpiredCalls(slots, clock.monotonicMs())
     slotsDefinition.startWaitingCalls(slots, clock.monotonicMs())
     this.options.pool.closeStaleConnections()
-    this.#limitLog.write(slots.rateLimit, this.serverId, clock.monotonicMs())
+    this.#limitLog.write(slots.rateLimit, this.ownServer.listedId, clock.monotonicMs())
   }
 
   /** Applies the limit that the backend server names, and stops sending to it once it says that it leaves. */
@@ -353,14 +343,14 @@
     switch (change) {
       case LimitChange.Named:
       case LimitChange.Lifted:
-        log.event('server_limit', { change, server: this.serverId, limit_per_s: answer.limitPerS ?? 'none', before: before ?? 'none' })
+        log.event('server_limit', { change, server: this.ownServer.listedId, limit_per_s: answer.limitPerS ?? 'none', before: before ?? 'none' })
         break
       case LimitChange.Changed:
       case LimitChange.None:
     }
     if (!answer.isLeaving || this.#isServerDeparting) return
     this.#isServerDeparting = true
-    log.event('server_departing', { server: this.serverId })
+    log.event('server_departing', { server: this.ownServer.listedId })
     slotsDefinition.setAcceptsWork(slots, false)
   }
 
@@ -373,10 +363,12 @@
       }
       case 'answered': {
         const answer = this.options.dialect.readAnswer(result.head)
+        this.ownServer.recordNamed(answer.serverId)
+        // What else it says may concern another service.
+        if (answer.isOtherServer) return { kind: 'not_run', reason: RefusalReason.ServerReplaced, reachedBackend: true }
         if (answer.slotsCount > 0) {
           slotsDefinition.setSlotsCount(this.options.slots, answer.slotsCount, this.options.clock.monotonicMs())
         }
-        if (answer.serverId !== '' && answer.serverId !== this.serverId) this.#setServerId(answer.serverId)
         this.#recordSignals(answer, result.tookMs)
         if (answer.notExecuted) return { kind: 'not_run', reason: RefusalReason.BackendShed, reachedBackend: true }
         return toForwardedResult(answer, result)
--- a/src/mesh/meshTypes.ts
+++ b/src/mesh/meshTypes.ts
@@ -52,7 +52,7 @@
   readonly signals: ServerSignals
 }
 
-/** Why a call did not run. Except for `BackendShed`, no byte of it reached a backend server. */
+/** Why a call did not run. Except for `BackendShed` and `ServerReplaced`, no byte of it reached a backend server. */
 export enum RefusalReason {
   NoConfiguration = 'no_configuration',
   UnknownKey = 'unknown_key',
@@ -70,6 +70,8 @@
   CrashSuspect = 'crash_suspect',
   ConnectFailed = 'connect_failed',
   BackendShed = 'backend_shed',
+  /** The address has another backend server than the one that was chosen. */
+  ServerReplaced = 'server_replaced',
   /** The backend server takes no more requests at the moment than it names as its limit. */
   ServerLimit = 'server_limit',
   MemoryFull = 'memory_full'
--- a/src/node/repeatedAnswers.spec.ts
+++ b/src/node/repeatedAnswers.spec.ts
@@ -16,7 +16,9 @@
   await pool.close()
 })
 
-async function startPool (onRequest: (socket: Socket, number: number) => void, identifiesAnswers: boolean): Promise<void> {
+async function startPool (
+  onRequest: (socket: Socket, number: number) => void, identifiesAnswers: boolean
+): Promise<void> {
   server = createServer(socket => {
     let number = 0
     sockets.add(socket.on('error', () => {}))
