Refuse published values that are nested very deeply

What operators saw: a deeply nested VM list or document ended the process of ragwortspur-node, again at each start (report of other operators).

Cause: the YAML parser, the validation and the messages of faults work recursively. With a full stack the engine ends the process.

Why this works: the depth is counted without recursion before anything else, up to 100 levels.

--- a/src/core/documents/documentsParse.ts
+++ b/src/core/documents/documentsParse.ts
@@ -4,7 +4,9 @@
 import { documentFaults, duplicateFaults } from './documentsChecks.js'
 import { catalogueSchema, documentSchema, vmListSchema, type PublishedDocument } from './documentsSchema.js'
 import type { Catalogue, DocumentFault, PublishedValue, RouteConfig, ServiceDocument } from './documentsTypes.js'
-import { checkSchema, addLines, parseText, VALUE_MAX_BYTES, type FieldFault, type ParsedText } from './publishedText.js'
+import {
+  checkSchema, addLines, isTooDeep, parseText, tooDeepFault, VALUE_MAX_BYTES, type FieldFault, type ParsedText
+} from './publishedText.js'
 
 export const DOCUMENT_KEY_PREFIX = 'documents/'
 export const VM_LIST_KEY_PREFIX = 'vms/'
@@ -92,6 +94,7 @@
   if (text.length > VALUE_MAX_BYTES) return parseText(text)
   try {
     const value: unknown = JSON.parse(text)
+    if (isTooDeep(value)) return Left(tooDeepFault())
     const lineOf: ParsedText['lineOf'] = path => parseText(text).map(parsed => parsed.lineOf(path)).orDefault(null)
     return Right({ value, lineOf })
   } catch {
--- a/src/core/documents/publishedText.ts
+++ b/src/core/documents/publishedText.ts
@@ -1,10 +1,15 @@
 import { Either, Left, Right } from 'purify-ts'
-import { LineCounter, isAlias, isMap, isNode, isScalar, parseDocument, type Document } from 'yaml'
+import { Lexer, LineCounter, Parser, isAlias, isMap, isNode, isScalar, parseDocument, type Document } from 'yaml'
 import { z } from 'zod'
 import type { DocumentFault } from './documentsTypes.js'
 
 /** Largest value that the configuration service holds. */
 export const VALUE_MAX_BYTES = 1_048_576
+/**
+ * Levels of maps and lists in a value, far more than any schema has. The YAML parser, the validation and the messages
+ * of faults work recursively, and a process whose stack is full may end without an error that can be caught.
+ */
+export const NESTING_MAX_COUNT = 100
 
 /** Path of a field: property names and list indexes from the root. */
 export type FieldPath = ReadonlyArray<string | number>
@@ -50,6 +55,42 @@
   return isNode(document.contents) ? document.contents.range?.[0] ?? 0 : 0
 }
 
+/** Whether a text has more levels than are accepted. The parser of the syntax works without recursion. */
+function isTextTooDeep (text: string): boolean {
+  const parser = new Parser()
+  for (const token of new Lexer().lex(text)) {
+    // The parser works only as far as its results are consumed.
+    Array.from(parser.next(token))
+    // The stack has a level for the document and one for the value that is being read.
+    if (parser.stack.length > NESTING_MAX_COUNT + 2) return true
+  }
+  return false
+}
+
+/**
+ * Whether a value has more levels of maps and lists than are accepted.
+ *
+ * @example
+ * isTooDeep([[]]) // false
+ */
+export function isTooDeep (value: unknown): boolean {
+  let level: unknown[] = [value]
+  for (let depth = 0; depth <= NESTING_MAX_COUNT; depth += 1) {
+    level = level.flatMap(part => typeof part === 'object' && part !== null ? Object.values(part) : [])
+    if (level.length === 0) return false
+  }
+  return true
+}
+
+const TOO_DEEP: DocumentFault = {
+  path: '(root)', line: null, reason: `is nested more than ${NESTING_MAX_COUNT} levels deep`
+}
+
+/** The fault of a value that is too deep, of which nothing else is looked at. */
+export function tooDeepFault (): DocumentFault[] {
+  return [TOO_DEEP]
+}
+
 /**
  * Parses YAML or JSON. Repeated keys and aliases that expand to very large values are faults.
  *
@@ -62,6 +103,7 @@
   if (Buffer.byteLength(text) > VALUE_MAX_BYTES) {
     return Left([{ path: '(root)', line: null, reason: `is larger than ${VALUE_MAX_BYTES} bytes` }])
   }
+  if (isTextTooDeep(text)) return Left(tooDeepFault())
   const lines = new LineCounter()
   const document = parseDocument(text, { lineCounter: lines, prettyErrors: false })
   if (document.errors.length > 0) {
