--- a/src/http/exchangePool.spec.ts
+++ b/src/http/exchangePool.spec.ts
@@ -215,3 +215,30 @@
     expect(fixture.foreignAnswers).toEqual([AnswerMatch.OtherRequest])
   })
 })
+
+describe('answers whose server closes in the middle of the head', () => {
+  const WHOLE = `${HEAD}Server: x\r\nContent-Length: 2\r\n\r\n`
+
+  // Elsewhere, callers got 200 with an empty or short body, framed as whole.
+  test.each([
+    ['in the start line', WHOLE.slice(0, 12)],
+    ['after the start line', WHOLE.slice(0, 17)],
+    ['in a header line', WHOLE.slice(0, 30)],
+    ['in the length, after its first digit', `${HEAD}Content-Length: 1`],
+    ['after the last header line', WHOLE.slice(0, -2)],
+    ['in the empty line', WHOLE.slice(0, -1)],
+    ['after the head', WHOLE],
+    ['in the body', `${WHOLE}o`],
+    ['in a chunk size', `${CHUNKED_HEAD}2`],
+    ['in a trailer', `${CHUNKED_HEAD}2\r\nok\r\n0\r\n`],
+    ['in the head after an interim answer', `HTTP/1.1 100 Continue\r\n\r\n${WHOLE.slice(0, 30)}`]
+  ])('%s are broken, also on a kept connection', async (_name, text) => {
+    await startPool((socket, request) => {
+      if (request.startsWith('GET /whole')) socket.write(`${WHOLE.replace('id: a', 'id: whole')}ok`)
+      else socket.end(text)
+    })
+    expect(await fixture.send('a')).toMatchObject({ kind: 'broken' })
+    expect(await fixture.send('whole')).toMatchObject({ kind: 'answered' })
+    expect(await fixture.send('a')).toMatchObject({ kind: 'broken', onReused: true })
+  })
+})
--- a/src/node/faultyAnswers.spec.ts
+++ b/src/node/faultyAnswers.spec.ts
@@ -57,3 +57,24 @@
     }
   })
 })
+
+// Elsewhere, callers got 200 with an empty or short body, framed as whole.
+describe('an answer whose server closes in the middle of the head is no answer', () => {
+  const WHOLE = 'HTTP/1.1 200 OK\r\nserver: x\r\ncontent-length: 2\r\n\r\n'
+
+  test.each([
+    ['in the start line', WHOLE.slice(0, 12)],
+    ['in a header line', WHOLE.slice(0, 24)],
+    ['in the length', 'HTTP/1.1 200 OK\r\ncontent-length: 1'],
+    ['after the last header line', WHOLE.slice(0, -2)],
+    ['after the head', WHOLE],
+    ['in a chunk size', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2']
+  ])('%s', async (_name, text) => {
+    await startPool((socket, number) => {
+      if (number === 0) socket.write(`${WHOLE}ok`)
+      else socket.end(text)
+    }, true)
+    expect(await pool.send(requestOf('c1'))).toMatchObject({ kind: 'answered' })
+    expect(await pool.send(requestOf('c2'))).toMatchObject({ kind: 'failed', bytesSent: true })
+  })
+})
