Accept no request that can outlive a stopping process

What callers saw: requests sent late in the grace period were passed on and got no answer when the process ended (found by the review, without a case).

Cause: a stopping node took requests until 4.5 s after SIGTERM while callers stayed, and ended at 5.7 s.

Why this works: from half of the grace period on, a request is accepted only if its time limit ends before the process does; others are refused.

--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -14,6 +14,7 @@
 import { EntryTask } from './entryTask.js'
 import { Executor } from './executor.js'
 import type { Hello } from './frames.js'
+import { GracefulStop, StopPhase } from './gracefulStop.js'
 import { createIncarnation } from './incarnation.js'
 import { createForeignAnswerReporter, createLimitReporter, LimitedPeer, type LimitReporter } from './peerReports.js'
 import type { MeshNodeOptions } from './meshNodeTypes.js'
@@ -32,15 +33,6 @@
 /** Round trip between data centres; one way takes 0.9 to 1.4 ms. */
 const REMOTE_PATH_MS: Millis = 2.4
 const SWEEP_PERIOD_MS: Millis = 50
-/** Least time for which a stopping node accepts requests: callers leave after two failed checks, one second apart. */
-const STOP_ACCEPTING_MIN_MS: Millis = 2_300
-/** A stopping node that received no request for this long has no callers left. */
-const STOP_CALLERS_IDLE_MS: Millis = 400
-/** Share of the grace period after which a stopping node accepts no connections, even if requests still arrive. */
-const STOP_ACCEPTING_MAX_RATIO = 0.75
-/** Time at the end of the grace period for closing connections, before the process is killed. */
-const STOP_CLOSING_MARGIN_MS: Millis = 300
-
 /** The sidecar of one backend server: wires its tasks together and holds the state they share. */
 export class MeshNode {
   readonly #options: MeshNodeOptions
@@ -67,13 +59,13 @@
   readonly #metrics = new NodeMetrics()
   readonly reportLimits: LimitReporter
   #sweepTimer: NodeJS.Timeout | null = null
-  #isStopping = false
-  #stopStartedAtMs: Millis = 0
+  readonly #stop: GracefulStop
 
   constructor (options: MeshNodeOptions) {
     this.#options = options
     const { settings, clock, random, log } = options
     this.reportLimits = createLimitReporter(log, this.#metrics)
+    this.#stop = new GracefulStop(clock, settings.stopGraceMs)
     this.#hello = {
       incarnation: createIncarnation(random),
       ip: settings.ip,
@@ -164,6 +156,7 @@
       proof: this.#proof,
       metrics: this.#metrics,
       allotment: this.#allotmentTask,
+      mayAccept: timeoutMs => this.#stop.mayAccept(timeoutMs),
       runningCall: requestId => this.#executor.runningById.get(requestId),
       dispatch: (server, call, listener) => this.#dispatch(server, call, listener)
     })
@@ -240,9 +233,7 @@
 
   /** Starts a graceful stop, which lets open requests finish. */
   stop (): void {
-    if (this.#isStopping) return
-    this.#isStopping = true
-    this.#stopStartedAtMs = this.#options.clock.monotonicMs()
+    if (!this.#stop.begin()) return
     this.#options.log.event('stopping', { open: this.#entryTask.openCount, running: this.#executor.openExecutions.size })
     this.#callerServer.markStopping()
     this.#executor.stopAccepting()
@@ -256,21 +247,18 @@
     this.#publishedState.expireGraces()
     this.#proof?.sweep()
     this.#peerMesh.checkLiveness()
-    if (this.#isStopping) this.#continueStop()
+    if (this.#stop.isStopping) this.#continueStop()
   }
 
   /** Closes the caller server once callers have left, and ends the node once its calls are done or time runs out. */
   #continueStop (): void {
-    const { clock, settings, log, onStopped } = this.#options
-    const nowMs = clock.monotonicMs()
-    const elapsedMs = nowMs - this.#stopStartedAtMs
+    const { log, onStopped } = this.#options
     const isBusy = this.#entryTask.openCount > 0 || this.#executor.openExecutions.size > 0
-    const hasCallers = nowMs - this.#entryTask.lastReceivedAtMs < STOP_CALLERS_IDLE_MS
-    if (elapsedMs < STOP_ACCEPTING_MIN_MS) return
-    if (hasCallers && elapsedMs < settings.stopGraceMs * STOP_ACCEPTING_MAX_RATIO) return
+    const phase = this.#stop.phase(isBusy, this.#entryTask.lastReceivedAtMs)
+    if (phase === StopPhase.Accepting) return
     this.#callerServer.close()
-    if (isBusy && elapsedMs < settings.stopGraceMs - STOP_CLOSING_MARGIN_MS) return
-    log.event('stopped', { after_ms: Math.round(elapsedMs), open: this.#entryTask.openCount })
+    if (phase === StopPhase.Closing) return
+    log.event('stopped', { after_ms: Math.round(this.#stop.elapsedMs), open: this.#entryTask.openCount })
     this.#peerServer.close()
     log.flush()
     onStopped()
@@ -283,7 +271,7 @@
    */
   get isReady (): boolean {
     if (this.#proof?.isProven === false) return false
-    return !this.#isStopping && this.#configuration.current !== null && this.#discovery.newestReadAtMs > -Infinity
+    return !this.#stop.isStopping && this.#configuration.current !== null && this.#discovery.newestReadAtMs > -Infinity
   }
 
   /** Number of backend servers in this node's copy of the server list. */
@@ -388,7 +376,7 @@
     if (isOwn) {
       slotsDefinition.setSlotsCount(this.#slots, server.slotsCount, nowMs)
       this.#executor.setListedServer(server)
-      if (this.#isStopping) placementDefinition.markLeaving(this.#placement, server, nowMs)
+      if (this.#stop.isStopping) placementDefinition.markLeaving(this.#placement, server, nowMs)
     }
     const acceptsWork = isOwn && server.state === ServerState.Ready && !this.#executor.isServerDeparting
     if (acceptsWork === this.#slots.acceptsWork) return
--- a/src/mesh/meshTypes.ts
+++ b/src/mesh/meshTypes.ts
@@ -74,7 +74,9 @@
   ServerReplaced = 'server_replaced',
   /** The backend server takes no more requests at the moment than it names as its limit. */
   ServerLimit = 'server_limit',
-  MemoryFull = 'memory_full'
+  MemoryFull = 'memory_full',
+  /** The process ends before the request is certain to have an answer. */
+  Stopping = 'stopping'
 }
 
 /** Why it is unknown whether a call ran. */
--- a/src/mesh/requestGate.ts
+++ b/src/mesh/requestGate.ts
@@ -47,6 +47,8 @@
   /** Null where keys are accepted without a proof of the configuration's age. */
   readonly proof: KeyProof | null
   readonly allotment: Pick<AllotmentTask, 'decide' | 'giveBack'>
+  /** Whether a request that can take this long may be accepted: a stopping process must answer what it accepts. */
+  readonly mayAccept: (timeoutMs: Millis) => boolean
   /** The call with this request id that this node's backend server is running, if any. */
   readonly runningCall: (requestId: string) => Execution | undefined
 }
@@ -139,6 +141,10 @@
     if (rule === undefined) return refuse(null, OwnAnswer.NoRoute, 'no_route', null)
     const running = request.parentRequestId === '' ? undefined : this.#options.runningCall(request.parentRequestId)
     const parent = running ?? null
+    const timeoutMs = Math.min(request.timeoutMs ?? Infinity, rule.timeoutMs ?? Infinity)
+    if (parent === null && !this.#options.mayAccept(timeoutMs)) {
+      return refuse(rule, OwnAnswer.NotRunRetryLater, RefusalReason.Stopping, retryAfterRefusalMs(rule, random))
+    }
     const identity = identifyProven(this.#options, {
       key: request.key, allowsAnonymous: rule.allowsAnonymous, isSubCall: parent !== null
     })
