Read the body of a request that offers an upgrade

Cause: the library drops the chunked coding of such a request and leaves its body to the caller of the parser, which ignored that.

Why this works: the parser is told that there is no upgrade, so it reads the body by the framing headers.

--- a/src/http/messageParser.spec.ts
+++ b/src/http/messageParser.spec.ts
@@ -59,6 +59,19 @@
     expect(bodies).toEqual([])
   })
 
+  // Bodies were dropped, or parsed as the next request.
+  test.each(['h2c', 'websocket'])('a body in chunks is read from a request that offers an upgrade to %s', protocol => {
+    const head = `POST / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: ${protocol}\r\nTransfer-Encoding: chunked\r\n\r\n`
+    for (const chunks of [[`${head}3\r\nabc\r\n0\r\n\r\n`], [head, '3\r\nabc\r\n', '0\r\n\r\n']]) {
+      expect(parse('REQUEST', [...chunks, 'GET /next HTTP/1.1\r\n\r\n'])).toMatchObject({ bodies: ['abc', ''], error: '' })
+    }
+  })
+
+  test('bytes after a CONNECT request are not skipped', () => {
+    const { bodies, heads } = parse('REQUEST', ['CONNECT a:1 HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n\r\n'])
+    expect({ bodies, targets: heads.map(({ target }) => target) }).toEqual({ bodies: ['', ''], targets: ['a:1', '/next'] })
+  })
+
   test('bytes after an answer are counted, so that its connection is not reused', () => {
     const { rests, bodies } = parse('RESPONSE', ['HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP'])
     expect({ rests, bodies }).toEqual({ rests: [4], bodies: ['ok'] })
--- a/src/http/messageParser.ts
+++ b/src/http/messageParser.ts
@@ -1,6 +1,7 @@
 import { HTTPParser } from 'http-parser-js'
 import { StepError, Step } from '../errors/errors.js'
 import { MessageLimit, MessageLimitError } from './messageLimits.js'
+import { headerValue } from './messageText.js'
 
 const ON_HEADERS_COMPLETE = HTTPParser.kOnHeadersComplete
 const ON_BODY = HTTPParser.kOnBody
@@ -157,9 +158,15 @@
       statusMessage: string
       headers: string[],
       shouldKeepAlive: boolean
+      upgrade: boolean
     }) => {
       const reason = findFramingError(info.headers)
       if (reason !== '') throw parseError(reason)
+      // No upgrade is ever accepted. The library would drop the chunked coding and leave the body to the caller.
+      if (info.upgrade) {
+        info.upgrade = false
+        parser.isChunked = headerValue(info.headers, 'transfer-encoding') !== undefined
+      }
       const isBodiless = callbacks.onHead({
         method: kind === 'REQUEST' ? HTTPParser.methods[info.method] ?? '' : '',
         target: info.url,
--- a/src/node/callServer.spec.ts
+++ b/src/node/callServer.spec.ts
@@ -80,6 +80,14 @@
   })
 })
 
+test('the body of a request that offers an upgrade arrives whole', async () => {
+  await world.start(1)
+  world.backends[0]!.onCall = (_request, response, body) => { response.end(`got ${body.toString()}`) }
+  const lines = 'connection: close, upgrade\r\nupgrade: h2c\r\ntransfer-encoding: chunked\r\n'
+  const raw = openRawConnection(world.nodes[0]!, `${POST_HEAD}${lines}\r\n3\r\nabc\r\n0\r\n\r\n`)
+  expect(await raw.readUntilClosed()).toContain('got abc')
+})
+
 test('a body in very many small chunks is read over several turns and arrives whole', async () => {
   await world.start(1)
   world.backends[0]!.onCall = (_request, response, body) => { response.end(`got ${body.length}`) }
