Keep a stopping process until its answers are sent

Cause: an answer counted as sent once it was handed to the socket.

Why this works: unsent bytes keep the process running until the end of its grace period; what is left then is reset.

--- a/src/http/callerServer.ts
+++ b/src/http/callerServer.ts
@@ -247,7 +247,9 @@
   #endConnection (): void {
     this.#releaseBodies()
     this.#enterPhase('closing')
-    this.#socket.end()
+    // A connection that has begun to end can no longer be reset.
+    if (this.#socket.writableLength === 0) this.#socket.end()
+    else this.#socket.write('', () => this.#socket.end())
   }
 
   #releaseBodies (): void {
@@ -283,9 +285,15 @@
     if (this.isIdle) this.#endConnection()
   }
 
-  destroy (): void {
-    this.#socket.destroy()
+  destroy (): void { this.#socket.destroy() }
+
+  /** Whether bytes of an answer wait for the caller to read. */
+  get hasUnsentBytes (): boolean {
+    return this.#socket.writableLength > 0
   }
+
+  /** Resets the connection, so that a truncated answer without a length does not look complete. */
+  reset (): void { this.#socket.resetAndDestroy() }
 }
 
 /**
@@ -345,6 +353,17 @@
     for (const connection of this.#connections) connection.closeIfIdle()
   }
 
+  /** Whether an answer has not been handed to the operating system completely. */
+  get hasUnsentAnswers (): boolean {
+    for (const connection of this.#connections) if (connection.hasUnsentBytes) return true
+    return false
+  }
+
+  /** Resets the connections whose answers are not sent completely, before the process ends. */
+  resetUnsentAnswers (): void {
+    for (const connection of this.#connections) if (connection.hasUnsentBytes) connection.reset()
+  }
+
   destroyAllConnections (): void {
     for (const connection of this.#connections) connection.destroy()
   }
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -253,13 +253,15 @@
   /** Closes the caller server once callers have left, and ends the node once its calls are done or time runs out. */
   #continueStop (): void {
     const { log, onStopped } = this.#options
-    const isBusy = this.#entryTask.openCount > 0 || this.#executor.openExecutions.size > 0
+    const isBusy = this.#entryTask.openCount > 0 || this.#executor.openExecutions.size > 0 ||
+      this.#callerServer.hasUnsentAnswers
     const phase = this.#stop.phase(isBusy, this.#entryTask.lastReceivedAtMs)
     if (phase === StopPhase.Accepting) return
     this.#callerServer.close()
     if (phase === StopPhase.Closing) return
     log.event('stopped', { after_ms: Math.round(this.#stop.elapsedMs), open: this.#entryTask.openCount })
     this.#peerServer.close()
+    this.#callerServer.resetUnsentAnswers()
     log.flush()
     onStopped()
   }
