Share the server of raw bytes between the specs of answers

endlessAnswers.spec.ts and faultyAnswers.spec.ts each set up a server, its sockets and a pool. RawServerPool serves both; the assertions are unchanged.

--- a/src/node/endlessAnswers.spec.ts
+++ b/src/node/endlessAnswers.spec.ts
@@ -1,41 +1,27 @@
-import { once } from 'node:events'
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { systemClock } from '../clock/clock.js'
 import { Reason } from '../core/coreTypes.js'
-import { ConnectionPool, type ConnectionPoolOptions, type PoolResult } from './connectionPool.js'
+import { RawServerPool } from '../testing/rawServerPool.js'
+import type { ConnectionPoolOptions, PoolResult } from './connectionPool.js'
 
 const MEMORY_MAX_BYTES = 64 * 1024 * 1024
 const CHUNKED = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 
-let server: Server
-const sockets = new Set<Socket>()
-let pool: ConnectionPool
+const raw = new RawServerPool()
 
-afterEach(async () => {
-  for (const socket of sockets) socket.destroy()
-  server.close()
-  await pool.close()
-})
+afterEach(() => raw.close())
 
 /** Sends a request to a server that answers with `head`, then with `unit` over and over until its peer closes. */
 async function sendToEndlessServer (
   head: string, unit: string, options: Partial<ConnectionPoolOptions> = {}, timeoutMs = 20_000
 ): Promise<PoolResult> {
   const text = unit.repeat(Math.ceil(65_536 / unit.length))
-  server = createServer(socket => {
-    sockets.add(socket.on('error', () => {}))
+  const pool = await raw.start(socket => {
     const write = (): void => {
       while (!socket.destroyed && socket.write(text));
     }
     socket.on('drain', () => setImmediate(write))
-    socket.once('data', () => {
-      socket.write(head)
-      write()
-    })
-  })
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  pool = new ConnectionPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, { clock: systemClock, ...options })
+    socket.write(head)
+    write()
+  }, options)
   return await pool.send({ method: 'GET', path: '/', headers: { 'ragwortspur-call': 'c1' }, body: null, timeoutMs })
 }
 
--- a/src/node/faultyAnswers.spec.ts
+++ b/src/node/faultyAnswers.spec.ts
@@ -1,33 +1,17 @@
-import { once } from 'node:events'
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { systemClock } from '../clock/clock.js'
+import type { Socket } from 'node:net'
 import { Reason } from '../core/coreTypes.js'
-import { ConnectionPool, type PoolRequest } from './connectionPool.js'
+import { RawServerPool } from '../testing/rawServerPool.js'
+import type { ConnectionPool, PoolRequest } from './connectionPool.js'
 
 const SHED = 'HTTP/1.1 503 Shed\r\nragwortspur-backend-status: shed\r\ncontent-length: 0\r\n'
 
-let server: Server
-const sockets = new Set<Socket>()
+const raw = new RawServerPool()
 let pool: ConnectionPool
 
-afterEach(async () => {
-  for (const socket of sockets) socket.destroy()
-  server.close()
-  await pool.close()
-})
+afterEach(() => raw.close())
 
-async function startPool (
-  onRequest: (socket: Socket, number: number) => void, identifiesAnswers: boolean
-): Promise<void> {
-  server = createServer(socket => {
-    let number = 0
-    sockets.add(socket.on('error', () => {}))
-    socket.on('data', () => onRequest(socket, number++))
-  })
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  pool = new ConnectionPool(`127.0.0.1:${port}`, { clock: systemClock, identifiesAnswers })
+async function startPool (onRequest: (socket: Socket, number: number) => void): Promise<void> {
+  pool = await raw.start(onRequest, { identifiesAnswers: true })
 }
 
 function requestOf (callId: string): PoolRequest {
@@ -39,19 +23,19 @@
   test('is not taken for the answer to the next request if it names none', async () => {
     await startPool((socket, number) => {
       socket.write(number === 0 ? `${SHED}ragwortspur-call: c1\r\n\r\n` : `${SHED}\r\n`)
-    }, true)
+    })
     expect(await pool.send(requestOf('c1'))).toMatchObject({ kind: 'answered', status: 503 })
     expect(await pool.send(requestOf('c2'))).toMatchObject({ kind: 'failed', reason: Reason.AnswerCrossed, bytesSent: true })
   })
 
   test('is not taken for the answer to the next request if it names another one', async () => {
-    await startPool(socket => socket.write(`${SHED}ragwortspur-call: c1\r\n\r\n`), true)
+    await startPool(socket => socket.write(`${SHED}ragwortspur-call: c1\r\n\r\n`))
     expect(await pool.send(requestOf('c1'))).toMatchObject({ kind: 'answered', status: 503 })
     expect(await pool.send(requestOf('c2'))).toMatchObject({ kind: 'failed', reason: Reason.AnswerCrossed, bytesSent: true })
   })
 
   test('answers of a server that names no requests are accepted', async () => {
-    await startPool(socket => socket.write(`${SHED}\r\n`), true)
+    await startPool(socket => socket.write(`${SHED}\r\n`))
     for (const callId of ['c1', 'c2']) {
       expect(await pool.send(requestOf(callId))).toMatchObject({ kind: 'answered', status: 503 })
     }
@@ -73,7 +57,7 @@
     await startPool((socket, number) => {
       if (number === 0) socket.write(`${WHOLE}ok`)
       else socket.end(text)
-    }, true)
+    })
     expect(await pool.send(requestOf('c1'))).toMatchObject({ kind: 'answered' })
     expect(await pool.send(requestOf('c2'))).toMatchObject({ kind: 'failed', bytesSent: true })
   })
