--- a/src/http/exchangePool.ts
+++ b/src/http/exchangePool.ts
@@ -172,7 +172,7 @@
 
   /** Whether a request with this id was sent on this connection and may be sent once more. */
   hasRefused (requestId: string): boolean {
-    return this.#refusedIds.size > 0 && this.#refusedIds.has(hash32(requestId, 0))
+    return this.#refusedIds.size > 0 && this.#refusedIds.has(hash32(requestId))
   }
 
   #onBody (chunk: Buffer): void {
@@ -203,7 +203,7 @@
     const body = this.#body.take()
     const seconds = keepAliveSeconds(head)
     if (seconds !== undefined) this.idleMaxMs = Math.max(0, seconds * 1000 - KEEP_ALIVE_MARGIN_MS)
-    if (request.requestId !== null && head.statusCode >= 300) this.#refusedIds.add(hash32(request.requestId, 0))
+    if (request.requestId !== null && head.statusCode >= 300) this.#refusedIds.add(hash32(request.requestId))
     // The connection is also not reusable if the answer arrived before the request body was completely written.
     const isReusable = head.keepAlive && head.hasLength && restBytes === 0 && !this.#hasSkippedAnswer &&
       this.#socket.writableLength === 0 && this.#refusedIds.size <= REFUSED_MAX_COUNT && !this.#isClosed
--- a/src/http/messageParser.ts
+++ b/src/http/messageParser.ts
@@ -236,7 +236,7 @@
   }
 
   /** Adds bytes of the connection without parsing them yet. */
-  defer (bytes: Buffer): undefined {
+  defer (bytes: Buffer): void {
     this.#unread = this.#unread.length === 0 ? bytes : Buffer.concat([this.#unread, bytes])
   }
 
--- a/src/http/pacedReader.ts
+++ b/src/http/pacedReader.ts
@@ -24,8 +24,8 @@
 
   read (bytes: Buffer): void {
     if (this.#hasFailed) return
-    if (this.#isScheduled) this.#check(this.#parser.defer(bytes))
-    else this.#check(this.#parser.read(bytes))
+    this.#parser.defer(bytes)
+    if (!this.#isScheduled) this.#check(this.#parser.readMore())
   }
 
   /** Parses what is left. To be called when the connection ends, since nothing follows then. */
--- a/src/mesh/gracefulStop.ts
+++ b/src/mesh/gracefulStop.ts
@@ -53,7 +53,7 @@
 
   /**
    * Whether a request may be accepted that can take up to `timeoutMs`. One that is still running when the process ends
-   * has no answer although it may have run, so it is refused while that is certain not to be the case.
+   * gets no answer although it may have run. Refused before it is passed on, it is certain not to have run.
    */
   mayAccept (timeoutMs: Millis): boolean {
     const { elapsedMs } = this
--- a/src/node/poolCall.ts
+++ b/src/node/poolCall.ts
@@ -7,7 +7,10 @@
 import type { PoolAnswer, PoolBounds, PoolFailureReason, PoolRequest } from './poolTypes.js'
 
 const CALL_HEADER = 'ragwortspur-call'
-/** Pieces of a body that are read in one turn of the event loop, so that very many small ones do not hold up others. */
+/**
+ * Pieces of a body that are read in one turn of the event loop, so that very many small ones do not hold up others.
+ * undici copies all unread bytes at each pause, so pauses have to be rare.
+ */
 const PIECES_PER_TURN_MAX = 8_192
 
 /** The pool of a call, which is told how the call ended. */
