--- a/jest.config.js
+++ b/jest.config.js
@@ -1,7 +1,7 @@
 export default {
   testEnvironment: 'node',
   testMatch: ['**/*.spec.ts'],
-  testPathIgnorePatterns: ['/node_modules/', '<rootDir>/dist/'],
+  testPathIgnorePatterns: ['/node_modules/', '<rootDir>/dist/', '<rootDir>/platform/crowds/'],
   modulePathIgnorePatterns: ['<rootDir>/dist/'],
   extensionsToTreatAsEsm: ['.ts'],
   moduleNameMapper: { '^(\\.{1,2}/.*)\\.js$': '$1' },
