--- a/src/http/bodyBuffer.ts
+++ b/src/http/bodyBuffer.ts
@@ -1,3 +1,5 @@
+import { ONE_PIECE_MAX_BYTES, type MessageBody } from './messageBody.js'
+
 const EMPTY_BODY = Buffer.alloc(0)
 /** Smaller pieces are copied, so that neither their number nor the buffers they are part of cost memory. */
 const COPIED_PIECE_MAX_BYTES = 16 * 1024
@@ -48,6 +50,15 @@
     return body
   }
 
+  /** Returns the body and empties the buffer. A long body is returned in its pieces, so that it is held only once. */
+  takeBody (): MessageBody {
+    if (this.#lengthBytes <= ONE_PIECE_MAX_BYTES) return this.take()
+    this.#sealBlock()
+    const pieces = [...this.#parts]
+    this.clear()
+    return pieces
+  }
+
   clear (): void {
     this.#parts.length = 0
     this.#block = EMPTY_BODY
--- a/src/http/callerServer.spec.ts
+++ b/src/http/callerServer.spec.ts
@@ -1,5 +1,7 @@
 import { connect, type Socket } from 'node:net'
 import { systemClock } from '../clock/clock.js'
+import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
+import { bodyLength } from './messageBody.js'
 import { CallerServer, type IncomingRequest } from './callerServer.js'
 import { MessageLimit } from './messageLimits.js'
 
@@ -8,6 +10,7 @@
 
 let server: CallerServer
 let port: number
+let connectionsMaxCount = 100
 const limits: MessageLimit[] = []
 const sockets = new Set<Socket>()
 
@@ -18,7 +21,8 @@
     host: '127.0.0.1',
     port: 0,
     clock: systemClock,
-    connectionsMaxCount: 100,
+    connectionsMaxCount: () => connectionsMaxCount,
+    memory: memoryAccountDefinition.createDb({ sideBytes: 96 * MIB, connectionsBytes: 8 * MIB }),
     bounds: () => ({ headMaxBytes: 16_384, bodyMaxBytes: 60 * MIB, headTimeoutMs: 5_000, idleTimeoutMs: 5_000 }),
     onRequest,
     errorAnswer: statusCode => ({ ...answer, statusCode }),
@@ -46,7 +50,7 @@
 }
 
 function answerWithLength (request: IncomingRequest): void {
-  const body = Buffer.from(String(request.body.length))
+  const body = Buffer.from(String(bodyLength(request.body)))
   request.answer({ statusCode: 200, statusText: 'OK', headerText: '', body, hasLength: true })
 }
 
@@ -64,7 +68,7 @@
 
   test('bodies of many connections are bounded together, and the request that is refused has not been passed on', async () => {
     let passedOnBytes = 0
-    await startServer(request => { passedOnBytes += request.body.length })
+    await startServer(request => { passedOnBytes += bodyLength(request.body) })
     const head = `${POST}Content-Length: ${30 * MIB}\r\n\r\n`
     for (let count = 0; count < 6; count++) void send(head, Buffer.alloc(30 * MIB - 1))
     while (limits.length < 3) await new Promise(resolve => setTimeout(resolve, 20))
@@ -123,3 +127,64 @@
   server.resetUnsentAnswers()
   while (server.hasUnsentAnswers) await new Promise(resolve => setTimeout(resolve, 5))
 })
+
+describe('connections above their limit', () => {
+  beforeEach(() => { connectionsMaxCount = 3 })
+  afterEach(() => { connectionsMaxCount = 100 })
+
+  test('make room for new ones, those first that have been silent for longest', async () => {
+    await startServer(answerWithLength)
+    const silent = Array.from({ length: 3 }, () => send())
+    await new Promise(resolve => setTimeout(resolve, 50))
+    expect(await send(`${POST}Connection: close\r\nContent-Length: 1\r\n\r\nx`)).toContain('200 OK')
+    expect(await silent[0]).toBe('')
+  })
+
+  test('are refused while all others wait for an answer', async () => {
+    const requests: IncomingRequest[] = []
+    await startServer(request => requests.push(request))
+    const waiting = Array.from({ length: 3 }, () => send(`${POST}Connection: close\r\nContent-Length: 1\r\n\r\nx`))
+    while (requests.length < 3) await new Promise(resolve => setTimeout(resolve, 5))
+    expect(await send(POST)).toBe('')
+    for (const request of requests) answerWithLength(request)
+    for (const answered of await Promise.all(waiting)) expect(answered).toContain('200 OK')
+    expect(limits).toEqual([MessageLimit.Connections])
+  })
+})
+
+// Each answer was written at once, so that a caller could have any number of them held on one connection.
+test('a connection whose answer is not read gets no further one', async () => {
+  let passedOnCount = 0
+  await startServer(request => {
+    passedOnCount += 1
+    request.answer({ statusCode: 200, statusText: 'OK', headerText: '', body: Buffer.alloc(20 * MIB), hasLength: true })
+  })
+  const socket = connect(port, '127.0.0.1', () => {
+    for (let count = 0; count < 8; count++) setTimeout(() => socket.write(`${POST}Content-Length: 0\r\n\r\n`), 10 * count)
+  })
+  sockets.add(socket.on('error', () => {}))
+  socket.pause()
+  await new Promise(resolve => setTimeout(resolve, 200))
+  expect(passedOnCount).toBe(1)
+  socket.resume()
+  while (socket.bytesRead < 8 * 20 * MIB) await new Promise(resolve => setTimeout(resolve, 5))
+  expect(passedOnCount).toBe(8)
+})
+
+test('unread answers above the limit close the connections that have kept them for longest, visibly', async () => {
+  await startServer(request => request.answer({
+    statusCode: 200, statusText: 'OK', headerText: '', body: Buffer.alloc(30 * MIB), hasLength: false
+  }))
+  const ends: string[] = []
+  for (let number = 0; number < 6; number++) {
+    const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true }, () => socket.write(`${POST}Content-Length: 0\r\n\r\n`))
+    sockets.add(socket.on('error', () => {}))
+    // Node.js can report a reset as an end if bytes are left to read. Only then does a write fail at once.
+    socket.pause().on('end', () => socket.write('x', error => ends.push(error == null ? `end ${number}` : `reset ${number}`)))
+    await new Promise(resolve => setTimeout(resolve, 50))
+  }
+  expect(limits).toEqual([MessageLimit.UnreadAnswers, MessageLimit.UnreadAnswers, MessageLimit.UnreadAnswers])
+  for (const socket of sockets) socket.resume()
+  while (ends.length < 6) await new Promise(resolve => setTimeout(resolve, 5))
+  expect(ends.sort()).toEqual(['end 3', 'end 4', 'end 5', 'reset 0', 'reset 1', 'reset 2'])
+})
--- a/src/http/exchangePool.spec.ts
+++ b/src/http/exchangePool.spec.ts
@@ -1,4 +1,6 @@
 import { createServer, type Server, type Socket } from 'node:net'
+import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
+import { bodyLength } from './messageBody.js'
 import { systemClock } from '../clock/clock.js'
 import { AnswerMatch, BrokenCause, ExchangePool, type ExchangeRequest, type ExchangeResult } from './exchangePool.js'
 import type { MessageHead } from './messageParser.js'
@@ -16,6 +18,7 @@
   connectionsCount = 0
   connectionsMaxCount = 100
   pool!: ExchangePool
+  readonly memory = memoryAccountDefinition.createDb({ sideBytes: 12 * MIB, connectionsBytes: MIB })
   readonly #sockets = new Set<Socket>()
   readonly #server: Server
 
@@ -39,11 +42,12 @@
       connectTimeoutMs: 500,
       idleMaxMs: 5_000,
       answerMaxBytes: 4 * MIB,
-      answersMaxBytes: 6 * MIB,
+      memory: this.memory,
       connectionsMaxCount: () => this.connectionsMaxCount,
       onLimitExceeded: limit => { this.limits.push(limit) },
       onForeignAnswer: match => { this.foreignAnswers.push(match) }
     })
+    memoryAccountDefinition.addHolder(this.memory, this.pool)
     return this
   }
 
@@ -126,16 +130,26 @@
     expect(process.memoryUsage().heapUsed - before.heapUsed).toBeLessThan(40 * MIB)
   })
 
-  test('many bodies without end are bounded together', async () => {
+  // Half of the 12 MiB of this account are for the answers of one pool, besides one of unknown length.
+  test.each([
+    ['with a length', `Content-Length: ${4 * MIB}`, 6 * MIB],
+    ['of unknown length', 'Connection: close', 12 * MIB]
+  ])('many bodies %s are bounded together, and those without room are read once there is some', async (_name, field, mostBytes) => {
     await startPool((socket, text) => {
       const id = /GET \/(\w+)/.exec(text)![1]!
-      socket.write(`HTTP/1.1 200 OK\r\nid: ${id}\r\nContent-Length: ${4 * MIB}\r\n\r\n`)
-      socket.write(Buffer.alloc(3 * MIB))
+      socket.write(`HTTP/1.1 200 OK\r\nid: ${id}\r\n${field}\r\n\r\n`)
+      setTimeout(() => socket.end(Buffer.alloc(4 * MIB)), 20)
     })
-    for (let count = 0; count < 8; count++) void fixture.send(`r${count}`)
-    await new Promise(resolve => setTimeout(resolve, 300))
-    expect(fixture.limits.length).toBeGreaterThanOrEqual(6)
-    expect(new Set(fixture.limits)).toEqual(new Set([MessageLimit.Bodies]))
+    let mostHeldBytes = 0
+    const timer = setInterval(() => {
+      mostHeldBytes = Math.max(mostHeldBytes, fixture.pool.heldBytes)
+      memoryAccountDefinition.sweep(fixture.memory)
+    }, 1)
+    const results = await Promise.all(Array.from({ length: 8 }, (_, count) => fixture.send(`r${count}`)))
+    clearInterval(timer)
+    expect(results.map(result => result.kind === 'answered' ? bodyLength(result.body) : 0)).toEqual(Array(8).fill(4 * MIB))
+    expect(mostHeldBytes).toBeLessThanOrEqual(mostBytes)
+    expect(fixture.limits).toEqual([])
   })
 
   test('an answer with a head in several pieces is read after one with a long body', async () => {
--- a/src/http/exchangeTypes.ts
+++ b/src/http/exchangeTypes.ts
@@ -1,4 +1,6 @@
 import type { Clock, Millis } from '../clock/clock.js'
+import type { MemoryAccountDb } from '../core/memoryAccount/memoryAccountDb.js'
+import type { MessageBody } from './messageBody.js'
 import type { LimitListener } from './messageLimits.js'
 import type { MessageHead } from './messageParser.js'
 
@@ -21,7 +23,7 @@
 
 /** Result of a request on a connection. */
 export type ExchangeResult =
-  | { readonly kind: 'answered', readonly head: MessageHead, readonly body: Buffer, readonly tookMs: Millis }
+  | { readonly kind: 'answered', readonly head: MessageHead, readonly body: MessageBody, readonly tookMs: Millis }
   /** No byte of the request was written. */
   | { readonly kind: 'not_sent', readonly reason: string }
   /** The request was written but got no complete answer; it may have run. */
@@ -35,7 +37,7 @@
 
 export interface ExchangeRequest {
   /** The encoded request, head and body. */
-  readonly bytes: Buffer
+  readonly bytes: MessageBody
   readonly isHead: boolean
   /** Id that answers repeat, or null if they repeat none. A request that may have none has an empty one. */
   readonly requestId: string | null
@@ -52,8 +54,8 @@
   /** Idle time after which a connection is closed if the server announces no keep-alive timeout. */
   readonly idleMaxMs: Millis
   readonly answerMaxBytes: number
-  /** Limit on the bodies of all answers that are being received. */
-  readonly answersMaxBytes: number
+  /** Account in which the bodies of answers are held that are being received. */
+  readonly memory: MemoryAccountDb
   readonly connectionsMaxCount: () => number
   readonly onLimitExceeded: LimitListener
   /** Called for each answer that does not belong to the request that waits for one. */
--- a/src/http/messageLimits.ts
+++ b/src/http/messageLimits.ts
@@ -15,7 +15,13 @@
   /** Interim answers and answers to other requests that precede the answer to a request. */
   SkippedAnswers = 'skipped_answers',
   /** Bytes in the bodies of these answers. */
-  SkippedBytes = 'skipped_bytes'
+  SkippedBytes = 'skipped_bytes',
+  /** All answers that are held because their peers do not take them. */
+  UnreadAnswers = 'unread_answers',
+  /** All connections and the heads that are being received on them. */
+  Connections = 'connections',
+  /** Time without a byte of a body that is being received, or without a byte taken of an answer. */
+  StallTime = 'stall_time'
 }
 
 /**
--- a/src/http/messageParser.ts
+++ b/src/http/messageParser.ts
@@ -24,6 +24,8 @@
 const STEPS_PER_READ_MAX = 512
 /** Steps that a whole message counts as besides its lines, since it is handled at once. */
 const MESSAGE_STEPS = 32
+/** Memory that a header field takes beside its characters: its strings, and parts of texts made from them. */
+const FIELD_MEMORY_BYTES = 192
 /** Bytes that are parsed between two checks of the steps, unless they are all in one piece of body. */
 const SLICE_BYTES = 1_024
 
@@ -78,6 +80,7 @@
   parseHeader (line: string, headers: string[]): void
   body_bytes: number | null
   isChunked: boolean
+  info: { headers: string[] }
   state: string
   /** Start of a line that is not complete yet. */
   line: string
@@ -144,6 +147,9 @@
   #stepsCount = 0
   /** Bytes of the connection that are not parsed yet. */
   #unread: Buffer = EMPTY_BYTES
+  #headLinesCount = 0
+  /** While true, `readMore` stops after the bytes that it is parsing. */
+  isHeld = false
 
   constructor (kind: 'REQUEST' | 'RESPONSE', callbacks: ParserCallbacks, headMaxBytes: number) {
     this.#headMaxBytes = headMaxBytes
@@ -185,7 +191,7 @@
     }
     parser[ON_MESSAGE_COMPLETE] = () => {
       this.#stepsCount += MESSAGE_STEPS
-      this.#headBytes = this.#trailersBytes = this.#chunkFramingBytes = this.#bodyBytes = 0
+      this.#headBytes = this.#headLinesCount = this.#trailersBytes = this.#chunkFramingBytes = this.#bodyBytes = 0
       callbacks.onEnd(parser.end - parser.offset + this.#unread.length)
     }
     this.#parser = parser
@@ -204,6 +210,7 @@
     switch (LIMIT_BY_STATE[state]) {
       case MessageLimit.Head:
         this.#headBytes = checkLimit(MessageLimit.Head, this.#headBytes + readBytes, this.#headMaxBytes)
+        this.#headLinesCount += 1
         break
       case MessageLimit.Trailers:
         this.#trailersBytes = checkLimit(MessageLimit.Trailers, this.#trailersBytes + readBytes, this.#headMaxBytes)
@@ -245,10 +252,15 @@
     return this.#unread.length > 0
   }
 
+  /** Memory that the head of the message takes that is being received, since each field is two strings. */
+  get headMemoryBytes (): number {
+    return 2 * this.#headBytes + this.#headLinesCount * FIELD_MEMORY_BYTES
+  }
+
   /** Parses more of the unread bytes. */
   readMore (): Error | undefined {
     this.#stepsCount = 0
-    while (this.#unread.length > 0 && this.#stepsCount < STEPS_PER_READ_MAX) {
+    while (this.#unread.length > 0 && this.#stepsCount < STEPS_PER_READ_MAX && !this.isHeld) {
       const error = this.#readSlice()
       if (error !== undefined) return error
     }
@@ -271,6 +283,14 @@
     }
   }
 
+  /** Drops what is kept of the message that is being received. Nothing may be read afterwards. */
+  discard (): void {
+    this.#unread = EMPTY_BYTES
+    this.#headBytes = this.#headLinesCount = 0
+    this.#parser.line = ''
+    this.#parser.info.headers = []
+  }
+
   /** Called when the connection ends and all bytes are parsed. Returns an error if a message is incomplete. */
   finish (): Error | undefined {
     const result: unknown = this.#parser.finish()
--- a/src/http/messageText.ts
+++ b/src/http/messageText.ts
@@ -1,5 +1,9 @@
+import { bodyPieces, isInPieces, type MessageBody } from './messageBody.js'
 import type { MessageHead } from './messageParser.js'
 
+/** Longer bodies are not copied behind their head. */
+const JOINED_BODY_MAX_BYTES = 64 * 1024
+
 /** Hop-by-hop headers (RFC 9110, section 7.6.1) and headers that frame the body. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length',
@@ -45,9 +49,12 @@
   return match === null ? undefined : Number(match[1])
 }
 
-/** Joins a head and a body into one buffer, since each write costs a system call. */
-export function joinMessage (headText: string, body: Uint8Array): Buffer {
+/** Joins a head and a short body into one piece, since each write costs a system call. A long body follows as it is. */
+export function joinMessage (headText: string, body: MessageBody): MessageBody {
   const headBytes = headText.length
+  if (isInPieces(body) || body.length > JOINED_BODY_MAX_BYTES) {
+    return [Buffer.from(headText, 'latin1'), ...bodyPieces(body)]
+  }
   const bytes = Buffer.allocUnsafe(headBytes + body.length)
   bytes.write(headText, 0, headBytes, 'latin1')
   bytes.set(body, headBytes)
--- a/src/http/pacedReader.ts
+++ b/src/http/pacedReader.ts
@@ -12,11 +12,18 @@
 export class PacedReader {
   readonly #socket: Socket
   readonly #parser: MessageParser
+  readonly #onParsed: () => void
   readonly #onError: (error: Error) => void
   #isScheduled = false
   #hasFailed = false
+  #isHeld = false
+  #onFinished: (() => void) | null = null
 
-  constructor (socket: Socket, parser: MessageParser, onError: (error: Error) => void) {
+  /** `onParsed` is called each time bytes have been parsed. */
+  constructor (
+    socket: Socket, parser: MessageParser, onError: (error: Error) => void, onParsed: () => void = () => {}
+  ) {
+    this.#onParsed = onParsed
     this.#socket = socket
     this.#parser = parser
     this.#onError = onError
@@ -25,21 +32,50 @@
   read (bytes: Buffer): void {
     if (this.#hasFailed) return
     this.#parser.defer(bytes)
-    if (!this.#isScheduled) this.#check(this.#parser.readMore())
+    if (!this.#isScheduled && !this.#isHeld) this.#check(this.#parser.readMore())
   }
 
-  /** Parses what is left. To be called when the connection ends, since nothing follows then. */
-  finish (): void {
-    while (this.#parser.hasUnread && !this.#hasFailed && !this.#socket.destroyed) this.#check(this.#parser.readMore())
+  /** Reads nothing more from the socket until `release`. */
+  hold (): void {
+    this.#isHeld = true
+    this.#parser.isHeld = true
+    this.#socket.pause()
+  }
+
+  /** Reads on in the next turn of the event loop. */
+  release (): void {
+    if (!this.#isHeld) return
+    this.#isHeld = false
+    this.#parser.isHeld = false
+    if (this.#isScheduled) return
+    this.#isScheduled = true
+    setImmediate(() => this.#readMore())
+  }
+
+  /** To be called when the connection ends. Parses what is left, also after a hold, and then calls `onFinished`. */
+  finish (onFinished: () => void): void {
+    this.#onFinished = onFinished
+    this.#finishUnlessHeld()
+  }
+
+  #finishUnlessHeld (): void {
+    while (this.#parser.hasUnread && !this.#isHeld && !this.#hasFailed && !this.#socket.destroyed) {
+      this.#check(this.#parser.readMore())
+    }
+    if (this.#isHeld || this.#onFinished === null) return
+    const onFinished = this.#onFinished
+    this.#onFinished = null
+    onFinished()
   }
 
   #check (error: Error | undefined): void {
+    this.#onParsed()
     if (error !== undefined) {
       this.#hasFailed = true
       this.#onError(error)
       return
     }
-    if (!this.#parser.hasUnread || this.#isScheduled || this.#socket.destroyed) return
+    if (!this.#parser.hasUnread || this.#isScheduled || this.#isHeld || this.#socket.destroyed) return
     this.#isScheduled = true
     this.#socket.pause()
     setImmediate(() => this.#readMore())
@@ -47,8 +83,12 @@
 
   #readMore (): void {
     this.#isScheduled = false
-    if (this.#hasFailed || this.#socket.destroyed) return
+    if (this.#hasFailed || this.#isHeld || this.#socket.destroyed) return
+    if (this.#onFinished !== null) {
+      this.#finishUnlessHeld()
+      return
+    }
     this.#check(this.#parser.readMore())
-    if (!this.#isScheduled) this.#socket.resume()
+    if (!this.#isScheduled && !this.#isHeld) this.#socket.resume()
   }
 }
--- a/src/mesh/adminServer.ts
+++ b/src/mesh/adminServer.ts
@@ -1,9 +1,11 @@
 import type { Clock } from '../clock/clock.js'
+import type { MemoryAccountDb } from '../core/memoryAccount/memoryAccountDb.js'
 import { CallerServer, type OutgoingAnswer } from '../http/callerServer.js'
 import type { LimitListener } from '../http/messageLimits.js'
 
 const CALLER_LIMITS = { headMaxBytes: 8_192, bodyMaxBytes: 0, headTimeoutMs: 2_000, idleTimeoutMs: 60_000 }
-const CONNECTIONS_MAX_COUNT = 32
+/** Connections to each of these endpoints. */
+export const ADMIN_CONNECTIONS_MAX_COUNT = 32
 const EMPTY_BODY = Buffer.alloc(0)
 
 export interface AdminAnswer {
@@ -27,17 +29,20 @@
   readonly host: string
   readonly port: number
   readonly clock: Clock
+  readonly memory: MemoryAccountDb
   readonly answer: (path: string) => AdminAnswer
   readonly onLimitExceeded: LimitListener
 }
 
 /** Creates an HTTP server for one operational endpoint of the node: readiness or metrics. */
-export function createAdminServer ({ host, port, clock, answer, onLimitExceeded }: AdminServerOptions): CallerServer {
+export function createAdminServer (options: AdminServerOptions): CallerServer {
+  const { host, port, clock, memory, answer, onLimitExceeded } = options
   return new CallerServer({
     host,
     port,
     clock,
-    connectionsMaxCount: CONNECTIONS_MAX_COUNT,
+    memory,
+    connectionsMaxCount: () => ADMIN_CONNECTIONS_MAX_COUNT,
     bounds: () => CALLER_LIMITS,
     onLimitExceeded,
     onRequest: request => request.answer(toOutgoingAnswer(answer(request.head.target))),
--- a/src/mesh/backendDialect.ts
+++ b/src/mesh/backendDialect.ts
@@ -1,5 +1,6 @@
 import type { Millis } from '../clock/clock.js'
 import type { AnswerMatch } from '../http/exchangePool.js'
+import type { MessageBody } from '../http/messageBody.js'
 import type { MessageHead } from '../http/messageParser.js'
 import type { DispatchedCall } from './meshTypes.js'
 
@@ -35,7 +36,7 @@
    * on it. A backend server with an id other than `serverId` refuses the request;
    * with an empty `serverId` any backend server runs it.
    */
-  encodeRequest (call: DispatchedCall, remainingMs: Millis, serverId: string): Buffer
+  encodeRequest (call: DispatchedCall, remainingMs: Millis, serverId: string): MessageBody
   /** Whether the answer belongs to the request, by the request id that the answer repeats, if it has one. */
   matchAnswer (head: MessageHead, requestId: string): AnswerMatch
   readAnswer (head: MessageHead): BackendAnswer
--- a/src/mesh/crashGuard.ts
+++ b/src/mesh/crashGuard.ts
@@ -2,6 +2,7 @@
 import { hashBytes32 } from '../core/hash.js'
 import { retryDefinition } from '../core/retry/retryDefinition.js'
 import type { Fingerprint } from '../core/retry/retryTypes.js'
+import { joinBody } from '../http/messageBody.js'
 import type { DispatchedCall } from './meshTypes.js'
 import type { NodeLog } from './nodeLog.js'
 
@@ -28,7 +29,7 @@
 /** Identifies a request by its content, without the ids that differ each time it is sent. */
 export function fingerprintOf (call: DispatchedCall): Fingerprint {
   return {
-    serviceName: call.serviceName, routeName: `${call.method} ${call.target}`, bodyHash: hashBytes32(call.body)
+    serviceName: call.serviceName, routeName: `${call.method} ${call.target}`, bodyHash: hashBytes32(joinBody(call.body))
   }
 }
 
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -2,6 +2,7 @@
 import { Packr } from 'msgpackr/pack'
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
 import { BodyBuffer } from '../http/bodyBuffer.js'
+import { joinBody } from '../http/messageBody.js'
 import { plausiblePaceRatio } from '../core/placement/placementDetector.js'
 import type { ServerSignals } from '../core/placement/placementTypes.js'
 import type { SpreadId, TreeNumber } from '../core/spread/spreadTypes.js'
@@ -20,7 +21,15 @@
   Resume = 9,
   NotReceived = 10,
   Notice = 11,
-  Spread = 12
+  Spread = 12,
+  /** A call whose body follows in parts once the receiver asks for it. */
+  LongCall = 13,
+  /** An answer whose body follows in parts once the receiver asks for it. */
+  LongAnswer = 14,
+  /** Asks for the body of a long call or answer. */
+  Pull = 15,
+  /** The next part of a body that was asked for. */
+  BodyPart = 16
 }
 
 /** Longest accepted frame. An answer of the greatest allowed size (64 MB) fits into it with its head. */
@@ -42,8 +51,12 @@
   readonly ip: string
   readonly dataCentre: string
   readonly serviceName: string
+  /** Whether the process reads bodies in parts. Those of older builds do not. */
+  readonly acceptsParts: boolean
 }
 
+type AnsweredResult = Extract<DispatchResult, { kind: 'answered' }>
+
 export type Frame =
   | { readonly kind: FrameKind.Hello, readonly hello: Hello }
   | { readonly kind: FrameKind.Call, readonly number: number, readonly call: DispatchedCall }
@@ -59,6 +72,23 @@
   | { readonly kind: FrameKind.NotReceived, readonly number: number }
   | { readonly kind: FrameKind.Notice, readonly text: string }
   | { readonly kind: FrameKind.Spread, readonly copy: SpreadCopy }
+  /** `call` has an empty body. */
+  | {
+    readonly kind: FrameKind.LongCall
+    readonly number: number
+    readonly call: DispatchedCall
+    readonly bodyBytes: number
+  }
+  /** `result` has an empty body. */
+  | {
+    readonly kind: FrameKind.LongAnswer
+    readonly number: number
+    readonly result: AnsweredResult
+    readonly report: ResultReport
+    readonly bodyBytes: number
+  }
+  | { readonly kind: FrameKind.Pull, readonly number: number }
+  | { readonly kind: FrameKind.BodyPart, readonly number: number, readonly bytes: Uint8Array }
 
 const packr = new Packr({ useRecords: false, moreTypes: false, encodeUndefinedAsNil: true })
 
@@ -142,7 +172,7 @@
     case 'answered':
       return [
         FrameKind.Answered, number, encodeReport(report), result.statusCode, result.statusText, result.headerText,
-        result.body, Math.round(result.servedMs),
+        joinBody(result.body), Math.round(result.servedMs),
         result.hasLength ? 1 : 0
       ]
     case 'not_run': return [FrameKind.NotRun, number, encodeReport(report), result.reason, result.reachedBackend ? 1 : 0]
@@ -150,28 +180,34 @@
   }
 }
 
+function encodeCall (number: number, call: DispatchedCall): unknown[] {
+  const { traceContext } = call
+  return [
+    FrameKind.Call, number, call.serviceName, call.serverId, call.requestId, call.method, call.target,
+    call.headerText, joinBody(call.body), Math.floor(call.remainingMs), Math.floor(call.queueWaitMaxMs), call.rank,
+    call.mayRepeat ? 1 : 0, traceContext.rootId, traceContext.rootRoute, traceContext.rootImportanceRank,
+    traceContext.depth, traceContext.isRetry ? 1 : 0, call.knownLimitPerS, call.workspaceName
+  ]
+}
+
 function encodeFields (frame: Frame): unknown[] {
   switch (frame.kind) {
     case FrameKind.Hello: {
-      const { incarnation, ip, dataCentre, serviceName } = frame.hello
-      return [frame.kind, incarnation, ip, dataCentre, serviceName]
-    }
-    case FrameKind.Call: {
-      const { call } = frame
-      const { traceContext } = call
-      return [
-        frame.kind, frame.number, call.serviceName, call.serverId, call.requestId, call.method, call.target,
-        call.headerText, call.body, Math.floor(call.remainingMs), Math.floor(call.queueWaitMaxMs), call.rank,
-        call.mayRepeat ? 1 : 0, traceContext.rootId, traceContext.rootRoute, traceContext.rootImportanceRank,
-        traceContext.depth, traceContext.isRetry ? 1 : 0, call.knownLimitPerS, call.workspaceName
-      ]
+      const { incarnation, ip, dataCentre, serviceName, acceptsParts } = frame.hello
+      return [frame.kind, incarnation, ip, dataCentre, serviceName, acceptsParts ? 1 : 0]
     }
+    case FrameKind.Call: return encodeCall(frame.number, frame.call)
+    case FrameKind.LongCall: return [frame.kind, frame.bodyBytes, encodeCall(frame.number, frame.call)]
+    case FrameKind.LongAnswer:
+      return [frame.kind, frame.bodyBytes, encodeResult(frame.number, frame.result, frame.report)]
+    case FrameKind.BodyPart: return [frame.kind, frame.number, frame.bytes]
     case FrameKind.Answered:
     case FrameKind.NotRun:
     case FrameKind.UnknownOutcome:
       return encodeResult(frame.number, frame.result, frame.report)
     case FrameKind.Cancel:
     case FrameKind.NotReceived:
+    case FrameKind.Pull:
       return [frame.kind, frame.number]
     case FrameKind.Ping:
     case FrameKind.Pong:
@@ -219,54 +255,67 @@
   }
 }
 
+function decodeCall (fields: readonly unknown[]): { number: number, call: DispatchedCall } {
+  const [
+    , number, serviceName, serverId, requestId, method, target, headerText, body, remainingMs, waitMaxMs, rank,
+    mayRepeatFlag, rootId, rootRoute, rootImportanceRank, depth, retryFlag, knownLimitPerS, workspaceName
+  ] = fields as [
+    unknown, number, string, string, string, string, string, string, Buffer, number, number, number, number,
+    string, string, number, number, number, number | null | undefined, string | null | undefined
+  ]
+  return {
+    number,
+    call: {
+      serviceName,
+      serverId,
+      requestId,
+      method,
+      target,
+      headerText,
+      body,
+      remainingMs,
+      queueWaitMaxMs: waitMaxMs,
+      rank,
+      mayRepeat: mayRepeatFlag === 1,
+      knownLimitPerS: knownLimitPerS ?? null,
+      workspaceName: workspaceName ?? null,
+      traceContext: { rootId, rootRoute, rootImportanceRank, depth, isRetry: retryFlag === 1 }
+    }
+  }
+}
+
+function decodeAnswer (fields: readonly unknown[]): { number: number, report: ResultReport, result: AnsweredResult } {
+  const [, number, report, statusCode, statusText, headerText, body, servedMs, hasLengthFlag] =
+    fields as [unknown, number, unknown, number, string, string, Buffer, number, number]
+  return {
+    number,
+    report: decodeReport(report),
+    result: {
+      kind: 'answered', statusCode, statusText, headerText, body, servedMs, hasLength: hasLengthFlag === 1
+    }
+  }
+}
+
+function decodeLength (field: unknown): number {
+  if (!Number.isSafeInteger(field) || (field as number) < 0) throw new RangeError(`body of ${String(field)} bytes`)
+  return field as number
+}
+
 function decodeFields (fields: readonly unknown[]): Frame {
   const kind = fields[0] as FrameKind
   switch (kind) {
     case FrameKind.Hello: {
-      const [, incarnation, ip, dataCentre, serviceName] = fields as [unknown, string, string, string, string]
-      return { kind, hello: { incarnation, ip, dataCentre, serviceName } }
+      const [, incarnation, ip, dataCentre, serviceName, acceptsPartsFlag] =
+        fields as [unknown, string, string, string, string, number | undefined]
+      return { kind, hello: { incarnation, ip, dataCentre, serviceName, acceptsParts: acceptsPartsFlag === 1 } }
     }
-    case FrameKind.Call: {
-      const [
-        , number, serviceName, serverId, requestId, method, target, headerText, body, remainingMs, waitMaxMs, rank,
-        mayRepeatFlag, rootId, rootRoute, rootImportanceRank, depth, retryFlag, knownLimitPerS, workspaceName
-      ] = fields as [
-        unknown, number, string, string, string, string, string, string, Buffer, number, number, number, number,
-        string, string, number, number, number, number | null | undefined, string | null | undefined
-      ]
-      return {
-        kind,
-        number,
-        call: {
-          serviceName,
-          serverId,
-          requestId,
-          method,
-          target,
-          headerText,
-          body,
-          remainingMs,
-          queueWaitMaxMs: waitMaxMs,
-          rank,
-          mayRepeat: mayRepeatFlag === 1,
-          knownLimitPerS: knownLimitPerS ?? null,
-          workspaceName: workspaceName ?? null,
-          traceContext: { rootId, rootRoute, rootImportanceRank, depth, isRetry: retryFlag === 1 }
-        }
-      }
-    }
-    case FrameKind.Answered: {
-      const [, number, report, statusCode, statusText, headerText, body, servedMs, hasLengthFlag] =
-        fields as [unknown, number, unknown, number, string, string, Buffer, number, number]
-      return {
-        kind,
-        number,
-        report: decodeReport(report),
-        result: {
-          kind: 'answered', statusCode, statusText, headerText, body, servedMs, hasLength: hasLengthFlag === 1
-        }
-      }
+    case FrameKind.Call: return { kind, ...decodeCall(fields) }
+    case FrameKind.Answered: return { kind, ...decodeAnswer(fields) }
+    case FrameKind.LongCall: return { kind, bodyBytes: decodeLength(fields[1]), ...decodeCall(fields[2] as unknown[]) }
+    case FrameKind.LongAnswer: {
+      return { kind, bodyBytes: decodeLength(fields[1]), ...decodeAnswer(fields[2] as unknown[]) }
     }
+    case FrameKind.BodyPart: return { kind, number: fields[1] as number, bytes: fields[2] as Buffer }
     case FrameKind.NotRun: {
       const [, number, report, reason, reachedBackendFlag] = fields as [unknown, number, unknown, RefusalReason, number]
       return { kind, number, report: decodeReport(report), result: { kind: 'not_run', reason, reachedBackend: reachedBackendFlag === 1 } }
@@ -277,6 +326,7 @@
     }
     case FrameKind.Cancel:
     case FrameKind.NotReceived:
+    case FrameKind.Pull:
       return { kind, number: fields[1] as number }
     case FrameKind.Ping:
     case FrameKind.Pong:
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -15,7 +15,7 @@
 import { Executor } from './executor.js'
 import type { Hello } from './frames.js'
 import { GracefulStop, StopPhase } from './gracefulStop.js'
-import { createIncarnation } from './incarnation.js'
+import { createHello } from './incarnation.js'
 import { createForeignAnswerReporter, createLimitReporter, LimitedPeer, type LimitReporter } from './peerReports.js'
 import type { MeshNodeOptions } from './meshNodeTypes.js'
 import type { DispatchedCall, DispatchHandle, DispatchListener } from './meshTypes.js'
@@ -24,9 +24,10 @@
 import { encodeNotice } from './notices.js'
 import { PeerMesh } from './peerMesh.js'
 import { PeerServer } from './peerServer.js'
+import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
 import { PublishedStateTask } from './publishedStateTask.js'
 import { SpreadTask } from './spreadTask.js'
-import { createBackendPool, createCallerServer, createMetricsServer, createReadyServer } from './nodeServers.js'
+import { createBackendPool, createCallerServer, createMemoryAccount, createOperatorServers, SocketShares } from './nodeServers.js'
 
 /** Added to the load of servers in other data centres, so that one is chosen only if it is less loaded by this much. */
 const REMOTE_PENALTY_RATIO = 0.4
@@ -41,6 +42,7 @@
   readonly #identity = identityDefinition.createDb()
   readonly #discovery
   readonly #chainAdmission = chainAdmissionDefinition.createDb(chainAdmissionDefinition.defaults)
+  readonly #memory
   readonly #slots = slotsDefinition.createDb(slotsDefinition.defaults)
   readonly #placement
   readonly #fleetRetryBudget
@@ -54,8 +56,7 @@
   readonly #publishedState: PublishedStateTask
   readonly #callerServer: CallerServer
   readonly #peerServer: PeerServer
-  readonly #readyServer: CallerServer
-  readonly #metricsServer: CallerServer | null
+  readonly #operatorServers: readonly CallerServer[]
   readonly #metrics = new NodeMetrics()
   readonly reportLimits: LimitReporter
   #sweepTimer: NodeJS.Timeout | null = null
@@ -66,12 +67,9 @@
     const { settings, clock, random, log } = options
     this.reportLimits = createLimitReporter(log, this.#metrics)
     this.#stop = new GracefulStop(clock, settings.stopGraceMs)
-    this.#hello = {
-      incarnation: createIncarnation(random),
-      ip: settings.ip,
-      dataCentre: settings.dataCentre,
-      serviceName: settings.serviceName
-    }
+    this.#memory = createMemoryAccount(settings)
+    const sockets = new SocketShares(settings, this.#configuration)
+    this.#hello = createHello(settings, random)
     this.#discovery = discoveryDefinition.createDb({ heartbeatPeriodMs: settings.heartbeatPeriodMs })
     this.#placement = placementDefinition.createDb({
       ownDataCentre: settings.dataCentre,
@@ -103,6 +101,8 @@
       clock,
       log,
       hello: this.#hello,
+      memory: this.#memory,
+      onLimitExceeded: this.reportLimits(LimitedPeer.Node),
       onUnresponsive: (ip, isUnresponsive) => this.#forEachServerAt(ip, server => {
         placementDefinition.setUnresponsive(this.#placement, server, isUnresponsive)
       }),
@@ -130,7 +130,8 @@
     this.#executor = new Executor({
       clock,
       serviceName: settings.serviceName,
-      pool: createBackendPool(settings, clock, this.#configuration, {
+      pool: createBackendPool(settings, clock, sockets, {
+        memory: this.#memory,
         onLimitExceeded: this.reportLimits(LimitedPeer.BackendServer),
         onForeignAnswer: createForeignAnswerReporter(log, this.#metrics)
       }),
@@ -160,14 +161,14 @@
       runningCall: requestId => this.#executor.runningById.get(requestId),
       dispatch: (server, call, listener) => this.#dispatch(server, call, listener)
     })
-    this.#callerServer = createCallerServer(
-      options, this.#configuration, request => this.#entryTask.receive(request), this.reportLimits(LimitedPeer.Caller)
-    )
     this.#peerServer = new PeerServer({
       host: settings.peerListen.ip,
       port: settings.peerListen.port,
       clock,
       hello: this.#hello,
+      memory: this.#memory,
+      connectionsMaxCount: sockets.peersMaxCount,
+      onLimitExceeded: this.reportLimits(LimitedPeer.Node),
       dispatch: (call, listener) => this.#executor.submit(call, listener),
       createReport: () => this.#executor.createReport(),
       onNotice: (text, fromIp) => this.#publishedState.receiveNotice(text, fromIp, 1),
@@ -177,9 +178,18 @@
         this.#announceTo(hello.ip)
       }
     })
-    const onOperatorLimit = this.reportLimits(LimitedPeer.Operator)
-    this.#readyServer = createReadyServer(settings, clock, () => this.isReady, onOperatorLimit)
-    this.#metricsServer = createMetricsServer(settings, clock, () => this.#metrics.renderText(), onOperatorLimit)
+    this.#callerServer = createCallerServer(options, this.#configuration, {
+      memory: this.#memory,
+      connectionsMaxCount: () => {
+        return sockets.callersMaxCount(this.#peerServer.connectionsCount + this.#peerMesh.openLinksCount)
+      },
+      onRequest: request => this.#entryTask.receive(request),
+      onLimitExceeded: this.reportLimits(LimitedPeer.Caller)
+    })
+    this.#operatorServers = createOperatorServers(settings, {
+      clock, memory: this.#memory, onLimitExceeded: this.reportLimits(LimitedPeer.Operator)
+    }, () => this.isReady, () => this.#metrics.renderText())
+    memoryAccountDefinition.addHolder(this.#memory, this.#executor.options.pool)
     registerNodeGauges(this.#metrics, {
       chainAdmission: this.#chainAdmission,
       clock,
@@ -190,7 +200,8 @@
       proofAgeMs: () => Math.round(this.#proof?.ageMs ?? NaN),
       openLinksCount: () => this.#peerMesh.openLinksCount,
       openRequestsCount: () => this.#entryTask.openCount,
-      callerConnectionsCount: () => this.#callerServer.connectionsCount
+      callerConnectionsCount: () => this.#callerServer.connectionsCount,
+      memory: this.#memory
     })
     this.#publishedState = new PublishedStateTask({
       clock,
@@ -219,9 +230,7 @@
   async start (): Promise<void> {
     const { settings, log } = this.#options
     this.#publishedState.start()
-    await Promise.all([
-      this.#callerServer.listen(), this.#peerServer.listen(), this.#readyServer.listen(), this.#metricsServer?.listen()
-    ])
+    await Promise.all([this.#callerServer, this.#peerServer, ...this.#operatorServers].map(server => server.listen()))
     this.#sweepTimer = setInterval(() => this.#sweep(), SWEEP_PERIOD_MS)
     log.event('started', {
       node: settings.nodeName,
@@ -243,6 +252,7 @@
 
   #sweep (): void {
     this.#executor.sweep()
+    memoryAccountDefinition.sweep(this.#memory)
     this.#crashGuard.expireQuarantines()
     this.#publishedState.expireGraces()
     this.#proof?.sweep()
@@ -254,7 +264,7 @@
   #continueStop (): void {
     const { log, onStopped } = this.#options
     const isBusy = this.#entryTask.openCount > 0 || this.#executor.openExecutions.size > 0 ||
-      this.#callerServer.hasUnsentAnswers
+      this.#callerServer.hasUnsentAnswers || this.#peerServer.hasUnsentResults
     const phase = this.#stop.phase(isBusy, this.#entryTask.lastReceivedAtMs)
     if (phase === StopPhase.Accepting) return
     this.#callerServer.close()
@@ -294,9 +304,9 @@
     this.#peerMesh.close()
     this.#peerServer.abort()
     this.#executor.options.pool.closeAll()
-    for (const server of [this.#callerServer, this.#readyServer, this.#metricsServer]) {
-      server?.close()
-      server?.destroyAllConnections()
+    for (const server of [this.#callerServer, ...this.#operatorServers]) {
+      server.close()
+      server.destroyAllConnections()
     }
   }
 
--- a/src/mesh/meshNodeTypes.ts
+++ b/src/mesh/meshNodeTypes.ts
@@ -25,6 +25,8 @@
   readonly readyPath: string
   /** Address of the metrics endpoint, or null for none. */
   readonly metricsListen: Address | null
+  /** Memory that the process may use, in MB of a million bytes. */
+  readonly memoryMb: number
   /** Limit on open file descriptors of the process. */
   readonly descriptorsMaxCount: number
   /** Interval at which backend servers renew their entries in the store. */
--- a/src/mesh/meshTypes.ts
+++ b/src/mesh/meshTypes.ts
@@ -1,6 +1,7 @@
 import type { Millis } from '../clock/clock.js'
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
 import type { ArrivalReport } from '../core/fleetRetryBudget/fleetRetryBudgetTypes.js'
+import type { MessageBody } from '../http/messageBody.js'
 import type { LoadReport, ServerSignals } from '../core/placement/placementTypes.js'
 
 /** Context of the root request, propagated to all calls made for it. */
@@ -26,7 +27,7 @@
   readonly target: string
   /** Header lines of the request, without those that the executing node adds. */
   readonly headerText: string
-  readonly body: Uint8Array
+  readonly body: MessageBody
   /** Time until the deadline when the call was sent. */
   readonly remainingMs: Millis
   /** Longest time for which the call may wait for a slot. */
@@ -83,6 +84,8 @@
 export enum UnknownOutcomeReason {
   ConnectionLost = 'connection_lost',
   MalformedAnswer = 'malformed_answer',
+  /** The answer is longer than the memory of this node allows. */
+  AnswerTooLong = 'answer_too_long',
   PeerLost = 'peer_lost',
   TimedOut = 'timed_out'
 }
@@ -94,7 +97,7 @@
     readonly statusCode: number
     readonly statusText: string
     readonly headerText: string
-    readonly body: Uint8Array
+    readonly body: MessageBody
     /** False for an answer delimited by the close of its connection, which may be incomplete. */
     readonly hasLength: boolean
     /** Time from writing the request until the complete answer was read. */
--- a/src/mesh/nodeGauges.ts
+++ b/src/mesh/nodeGauges.ts
@@ -3,6 +3,9 @@
 import { chainAdmissionDefinition } from '../core/chainAdmission/chainAdmissionDefinition.js'
 import type { ConfigurationDb } from '../core/configuration/configurationDb.js'
 import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
+import type { MemoryAccountDb } from '../core/memoryAccount/memoryAccountDb.js'
+import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
+import { MemoryShare } from '../core/memoryAccount/memoryAccountTypes.js'
 import type { PlacementDb } from '../core/placement/placementDb.js'
 import type { SlotsDb } from '../core/slots/slotsDb.js'
 import { slotsDefinition } from '../core/slots/slotsDefinition.js'
@@ -21,6 +24,7 @@
   readonly openLinksCount: () => number
   readonly openRequestsCount: () => number
   readonly callerConnectionsCount: () => number
+  readonly memory: MemoryAccountDb
 }
 
 /**
@@ -41,6 +45,8 @@
     peer_links: sources.openLinksCount,
     requests_open: sources.openRequestsCount,
     caller_connections: sources.callerConnectionsCount,
+    held_limit_bytes: () => 2 * sources.memory.limits.sideBytes,
+    answers_waiting_for_memory: () => sources.memory.waiting.size,
     backend_running: () => slots.runningCount,
     backend_queued: () => slots.queue.length,
     backend_rate_limit_per_s: () => slots.rateLimit.limitPerS ?? NaN,
@@ -48,6 +54,9 @@
     resident_bytes: () => process.memoryUsage.rss()
   }
   for (const [name, read] of Object.entries(gauges)) metrics.registerGauge(name, read)
+  metrics.registerLabelledGauge('held_bytes', () => Object.values(MemoryShare).map(share => {
+    return [{ share }, memoryAccountDefinition.shareBytes(sources.memory, share)] as const
+  }))
   metrics.registerLabelledGauge('utilization_spread_ratio', () => [...placement.services.values()].map(service => {
     return [{ service: service.serviceName }, Number(service.spreadRatio.toFixed(3))] as const
   }))
--- a/src/mesh/peerLink.spec.ts
+++ b/src/mesh/peerLink.spec.ts
@@ -1,10 +1,14 @@
+import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
+import { MemoryShare, type MemoryHolder } from '../core/memoryAccount/memoryAccountTypes.js'
+import { joinBody } from '../http/messageBody.js'
 import { systemClock } from '../clock/clock.js'
 import { Relay, RelayMode, RelayScope } from '../standins/relay.js'
 import { UnknownOutcomeReason, type DispatchedCall, type DispatchHandle, type DispatchListener, type DispatchResult } from './meshTypes.js'
 import { PeerLink } from './peerLink.js'
 import { PeerServer } from './peerServer.js'
 
-const HELLO = { ip: '127.0.0.1', dataCentre: 'tartu', serviceName: 'depot' }
+const HELLO = { ip: '127.0.0.1', dataCentre: 'tartu', serviceName: 'depot', acceptsParts: true }
+const LONG_BYTES = 3_000_000
 const REPORT = {
   load: { runningCount: 1, queuedCount: 0, limitCount: 10, acceptsWork: true, paceRatio: null }, usage: [], arrivals: null, signals: { kind: 'none' as const }
 }
@@ -38,11 +42,16 @@
   servedMs: 1
 }
 
+const MEMORY_LIMITS = { sideBytes: 2 * LONG_BYTES, connectionsBytes: LONG_BYTES }
+
 /** A peer server whose calls end when the test says so, and a link to it through a relay that can inject faults. */
 class PeerLinkHarness {
   readonly dispatched: Array<{ call: DispatchedCall, listener: DispatchListener, isCancelled: boolean }> = []
   readonly ended: Array<{ id: string, result: DispatchResult }> = []
   readonly unresponsiveChanges: boolean[] = []
+  readonly linkMemory = memoryAccountDefinition.createDb(MEMORY_LIMITS)
+  readonly serverMemory = memoryAccountDefinition.createDb(MEMORY_LIMITS)
+  linkHeldBytes = 0
   relay!: Relay
   server!: PeerServer
   link!: PeerLink
@@ -60,6 +69,9 @@
       port,
       clock: systemClock,
       hello: { ...HELLO, incarnation: 'client-1' },
+      memory: this.linkMemory,
+      onHeldBytes: addedBytes => { this.linkHeldBytes += addedBytes },
+      onLimitExceeded: () => {},
       onUnresponsive: isUnresponsive => this.unresponsiveChanges.push(isUnresponsive),
       nextCallNumber: () => ++this.#lastCallNumber,
       onNotice: () => {},
@@ -75,6 +87,9 @@
       port: this.#serverPort,
       clock: systemClock,
       hello: { ...HELLO, incarnation },
+      memory: this.serverMemory,
+      connectionsMaxCount: 10,
+      onLimitExceeded: () => {},
       dispatch: (call, listener): DispatchHandle => {
         const entry = { call, listener, isCancelled: false }
         this.dispatched.push(entry)
@@ -88,15 +103,15 @@
     this.#serverPort = await this.server.listen()
   }
 
-  dispatch (id: string): DispatchHandle {
-    return this.link.dispatch(createCall(id), {
+  dispatch (id: string, body?: Buffer): DispatchHandle {
+    return this.link.dispatch({ ...createCall(id), ...(body === undefined ? {} : { body }) }, {
       onResult: result => this.ended.push({ id, result }),
       onUnresponsive: () => {}
     })
   }
 
-  answerCall (index: number): void {
-    this.dispatched[index]!.listener.onResult(ANSWER, REPORT)
+  answerCall (index: number, result: DispatchResult = ANSWER): void {
+    this.dispatched[index]!.listener.onResult(result, REPORT)
   }
 
   async until (condition: () => boolean, timeoutMs = 3_000): Promise<void> {
@@ -203,3 +218,85 @@
     expect(harness.ended).toEqual([])
   })
 })
+
+describe('long bodies', () => {
+  /** Takes all memory of a side. */
+  function createBlocker (share: MemoryShare): MemoryHolder & { heldBytes: number } {
+    return { share, heldBytes: LONG_BYTES * 2, shed: () => false, shedStalled: () => false }
+  }
+
+  const LONG_BODY = Buffer.alloc(LONG_BYTES, 'long ')
+  const LONG_ANSWER: DispatchResult = { ...ANSWER, body: LONG_BODY }
+
+  function endedBodies (): Buffer[] {
+    return harness.ended.map(({ result }) => Buffer.from(result.kind === 'answered' ? joinBody(result.body) : []))
+  }
+
+  test('arrive whole in both directions, and nothing stays held', async () => {
+    harness.dispatch('a', LONG_BODY)
+    await harness.until(() => harness.dispatched.length === 1)
+    const { body, remainingMs } = harness.dispatched[0]!.call
+    expect(LONG_BODY.equals(joinBody(body))).toBe(true)
+    expect(remainingMs).toBeLessThanOrEqual(5_000)
+    harness.answerCall(0, LONG_ANSWER)
+    await harness.until(() => harness.ended.length === 1)
+    expect(LONG_BODY.equals(endedBodies()[0]!)).toBe(true)
+    expect(harness.linkHeldBytes).toBe(0)
+    expect(memoryAccountDefinition.shareBytes(harness.serverMemory, MemoryShare.PeerCalls)).toBe(0)
+  })
+
+  test('wait until there is memory for them', async () => {
+    const blocker = createBlocker(MemoryShare.CallerAnswers)
+    memoryAccountDefinition.addHolder(harness.linkMemory, blocker)
+    harness.dispatch('a')
+    await harness.until(() => harness.dispatched.length === 1)
+    harness.answerCall(0, LONG_ANSWER)
+    await harness.until(() => harness.linkMemory.waiting.size === 1)
+    blocker.heldBytes = 0
+    memoryAccountDefinition.sweep(harness.linkMemory)
+    await harness.until(() => harness.ended.length === 1)
+    expect(endedBodies()[0]!.length).toBe(LONG_BYTES)
+  })
+
+  test('a cancelled call neither waits for memory nor stays held at the peer', async () => {
+    const blocker = createBlocker(MemoryShare.CallerAnswers)
+    memoryAccountDefinition.addHolder(harness.linkMemory, blocker)
+    const handle = harness.dispatch('a')
+    await harness.until(() => harness.dispatched.length === 1)
+    harness.answerCall(0, LONG_ANSWER)
+    await harness.until(() => harness.linkMemory.waiting.size === 1)
+    handle.cancel()
+    expect(harness.linkMemory.waiting.size).toBe(0)
+    const heldBytes = (): number => memoryAccountDefinition.shareBytes(harness.serverMemory, MemoryShare.ServerAnswers)
+    await harness.until(() => heldBytes() === 0)
+  })
+
+  test('a call whose body finds no memory at the peer has not run', async () => {
+    const blocker = createBlocker(MemoryShare.PeerCalls)
+    memoryAccountDefinition.addHolder(harness.serverMemory, blocker)
+    harness.dispatch('a', LONG_BODY)
+    await harness.until(() => harness.ended.length === 1)
+    expect(harness.ended[0]!.result).toMatchObject({ kind: 'not_run', reason: 'memory_full' })
+    expect(harness.dispatched).toEqual([])
+  })
+
+  test('an answer that is too long for this node has an unknown outcome', async () => {
+    harness.dispatch('a')
+    await harness.until(() => harness.dispatched.length === 1)
+    harness.answerCall(0, { ...ANSWER, body: Buffer.alloc(LONG_BYTES * 2 + 1) })
+    await harness.until(() => harness.ended.length === 1)
+    expect(harness.ended[0]!.result).toMatchObject({ kind: 'unknown', reason: 'answer_too_long' })
+  })
+
+  test('arrive whole and once after the connection broke in the middle', async () => {
+    harness.dispatch('a', LONG_BODY)
+    harness.relay.applyControl({ mode: RelayMode.Cut, scope: RelayScope.Existing })
+    await harness.until(() => harness.dispatched.length === 1)
+    harness.answerCall(0, LONG_ANSWER)
+    setImmediate(() => harness.relay.applyControl({ mode: RelayMode.Cut, scope: RelayScope.Existing }))
+    await harness.until(() => harness.ended.length === 1)
+    expect(LONG_BODY.equals(endedBodies()[0]!)).toBe(true)
+    expect(harness.dispatched.length).toBe(1)
+    expect(harness.linkHeldBytes).toBe(0)
+  })
+})
--- a/src/mesh/peerLink.ts
+++ b/src/mesh/peerLink.ts
@@ -1,9 +1,15 @@
 import { connect } from 'node:net'
 import type { Clock, Millis } from '../clock/clock.js'
+import type { MemoryAccountDb } from '../core/memoryAccount/memoryAccountDb.js'
+import { bodyLength } from '../http/messageBody.js'
+import { MessageLimit, type LimitListener } from '../http/messageLimits.js'
 import { FrameKind, type Frame, type Hello, type SpreadCopy } from './frames.js'
 import { FrameSocket } from './frameSocket.js'
+import { isSentInParts } from './incomingBody.js'
+import { LongAnswer } from './longAnswer.js'
 import { UnknownOutcomeReason, RefusalReason, type DispatchedCall, type DispatchHandle, type DispatchListener } from './meshTypes.js'
 
+const EMPTY_BODY = Buffer.alloc(0)
 /** A ping is sent after this time without a frame. Round trips between data centres take a few ms. */
 const PING_AFTER_IDLE_MS: Millis = 250
 /** The peer counts as unresponsive if no frame arrives within this time after a ping. */
@@ -26,6 +32,8 @@
   readonly call: DispatchedCall
   readonly listener: DispatchListener
   isSent: boolean
+  /** An announced answer whose body has not arrived completely. */
+  longAnswer: LongAnswer | null
 }
 
 export interface PeerLinkOptions {
@@ -33,6 +41,11 @@
   readonly port: number
   readonly clock: Clock
   readonly hello: Hello
+  /** Account in which the bodies of long answers are held while they arrive. */
+  readonly memory: MemoryAccountDb
+  /** Counts what is held for answers that arrive. */
+  readonly onHeldBytes: (addedBytes: number) => void
+  readonly onLimitExceeded: LimitListener
   /** Numbers of calls are unique in a process, so that those of a closed link are never used again. */
   readonly nextCallNumber: () => number
   /** Called when the peer becomes unresponsive and when it responds again. */
@@ -61,6 +74,7 @@
   #isPermanent = false
   #lastUsedAtMs: Millis
   #peerIncarnation = ''
+  #peerAcceptsParts = false
   #lastReceivedAtMs: Millis
   /** Since when there has been an open call without interruption; silence before that time is normal. */
   #busySinceMs: Millis = -Infinity
@@ -98,7 +112,7 @@
   dispatch (call: DispatchedCall, listener: DispatchListener): DispatchHandle {
     const number = this.#options.nextCallNumber()
     this.#lastUsedAtMs = this.#options.clock.monotonicMs()
-    const openCall: OpenCall = { call, listener, isSent: false }
+    const openCall: OpenCall = { call, listener, isSent: false, longAnswer: null }
     if (this.#calls.size === 0) this.#busySinceMs = this.#lastUsedAtMs
     this.#calls.set(number, openCall)
     if (this.#socket !== null) this.#sendCall(number, openCall)
@@ -157,14 +171,55 @@
 
   #sendCall (number: number, openCall: OpenCall): void {
     openCall.isSent = true
-    this.#socket?.send({ kind: FrameKind.Call, number, call: openCall.call })
+    const { call } = openCall
+    const bodyBytes = bodyLength(call.body)
+    const isLong = this.#peerAcceptsParts && isSentInParts(bodyBytes, this.#socket?.isBacklogged === true)
+    if (!isLong) this.#socket?.send({ kind: FrameKind.Call, number, call })
+    else this.#socket?.send({ kind: FrameKind.LongCall, number, call: { ...call, body: EMPTY_BODY }, bodyBytes })
+  }
+
+  /** Removes a call that has ended, and what is held of its answer. */
+  #takeCall (number: number): OpenCall | undefined {
+    const openCall = this.#calls.get(number)
+    this.#calls.delete(number)
+    openCall?.longAnswer?.end()
+    this.#socket?.cancelBody(number)
+    return openCall
   }
 
   #cancel (number: number): void {
+    const openCall = this.#takeCall(number)
+    if (openCall?.isSent === true) this.#socket?.send({ kind: FrameKind.Cancel, number })
+  }
+
+  #onLongAnswer (frame: Extract<Frame, { kind: FrameKind.LongAnswer }>): void {
+    const { number } = frame
     const openCall = this.#calls.get(number)
     if (openCall === undefined) return
-    this.#calls.delete(number)
-    if (openCall.isSent) this.#socket?.send({ kind: FrameKind.Cancel, number })
+    openCall.longAnswer?.end()
+    const { memory, onHeldBytes } = this.#options
+    openCall.longAnswer = new LongAnswer(frame, {
+      memory, onHeldBytes, pull: () => this.#socket?.send({ kind: FrameKind.Pull, number })
+    })
+    if (openCall.longAnswer.request()) return
+    this.#cancel(number)
+    openCall.listener.onResult({ kind: 'unknown', reason: UnknownOutcomeReason.AnswerTooLong }, frame.report)
+    this.#options.onLimitExceeded(MessageLimit.Bodies)
+  }
+
+  #onBodyPart (from: FrameSocket, number: number, bytes: Uint8Array): void {
+    const openCall = this.#calls.get(number)
+    const longAnswer = openCall?.longAnswer
+    if (openCall === undefined || longAnswer === undefined || longAnswer === null) return
+    try {
+      const result = longAnswer.append(bytes)
+      if (result === null) return
+      this.#takeCall(number)
+      openCall.listener.onResult(result, longAnswer.report)
+    } catch (error) {
+      if (!(error instanceof RangeError)) throw error
+      from.destroy()
+    }
   }
 
   #onFrame (from: FrameSocket, frame: Frame): void {
@@ -174,9 +229,14 @@
       case FrameKind.Answered:
       case FrameKind.NotRun:
       case FrameKind.UnknownOutcome: {
+        this.#takeCall(frame.number)?.listener.onResult(frame.result, frame.report)
+        return
+      }
+      case FrameKind.LongAnswer: return this.#onLongAnswer(frame)
+      case FrameKind.BodyPart: return this.#onBodyPart(from, frame.number, frame.bytes)
+      case FrameKind.Pull: {
         const openCall = this.#calls.get(frame.number)
-        this.#calls.delete(frame.number)
-        openCall?.listener.onResult(frame.result, frame.report)
+        if (openCall !== undefined) from.sendBody(frame.number, openCall.call.body)
         return
       }
       case FrameKind.NotReceived: {
@@ -189,6 +249,7 @@
       case FrameKind.Ping: return from.send({ kind: FrameKind.Pong })
       case FrameKind.Pong:
       case FrameKind.Call:
+      case FrameKind.LongCall:
       case FrameKind.Cancel:
       case FrameKind.Resume:
     }
@@ -213,7 +274,13 @@
     const isNewProcess = this.#peerIncarnation !== '' && this.#peerIncarnation !== hello.incarnation
     if (isNewProcess) this.#failSent()
     this.#peerIncarnation = hello.incarnation
+    this.#peerAcceptsParts = hello.acceptsParts
     this.#failedConnectsCount = 0
+    // Answers that are not complete are announced again.
+    for (const openCall of this.#calls.values()) {
+      openCall.longAnswer?.end()
+      openCall.longAnswer = null
+    }
     const sentNumbers = [...this.#calls].filter(([, openCall]) => openCall.isSent).map(([number]) => number)
     if (sentNumbers.length > 0) from.send({ kind: FrameKind.Resume, numbers: sentNumbers })
     for (const [number, openCall] of this.#calls) if (!openCall.isSent) this.#sendCall(number, openCall)
@@ -290,7 +357,7 @@
   #failUnsent (): void {
     for (const [number, openCall] of [...this.#calls]) {
       if (openCall.isSent) continue
-      this.#calls.delete(number)
+      this.#takeCall(number)
       openCall.listener.onResult({ kind: 'not_run', reason: RefusalReason.ConnectFailed, reachedBackend: false }, null)
     }
   }
@@ -298,7 +365,7 @@
   #failSent (): void {
     for (const [number, openCall] of [...this.#calls]) {
       if (!openCall.isSent) continue
-      this.#calls.delete(number)
+      this.#takeCall(number)
       openCall.listener.onResult({ kind: 'unknown', reason: UnknownOutcomeReason.PeerLost }, null)
     }
   }
--- a/src/mesh/peerMesh.ts
+++ b/src/mesh/peerMesh.ts
@@ -1,4 +1,8 @@
 import type { Clock, Millis } from '../clock/clock.js'
+import type { MemoryAccountDb } from '../core/memoryAccount/memoryAccountDb.js'
+import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
+import { MemoryShare } from '../core/memoryAccount/memoryAccountTypes.js'
+import type { LimitListener } from '../http/messageLimits.js'
 import type { Hello, SpreadCopy } from './frames.js'
 import type { DispatchedCall, DispatchHandle, DispatchListener } from './meshTypes.js'
 import type { NodeLog } from './nodeLog.js'
@@ -15,6 +19,9 @@
   readonly clock: Clock
   readonly log: NodeLog
   readonly hello: Hello
+  /** Account in which answers are held while they arrive from other nodes. */
+  readonly memory: MemoryAccountDb
+  readonly onLimitExceeded: LimitListener
   readonly onUnresponsive: (ip: string, isUnresponsive: boolean) => void
   readonly onNotice: (text: string, fromIp: string) => void
   readonly onSpreadCopy: (copy: SpreadCopy, fromIp: string) => void
@@ -30,8 +37,18 @@
   readonly #unlistedSinceMs = new Map<string, Millis>()
   #lastCallNumber = 0
 
+  #heldBytes = 0
+
   constructor (options: PeerMeshOptions) {
     this.#options = options
+    const readHeldBytes = (): number => this.#heldBytes
+    memoryAccountDefinition.addHolder(options.memory, {
+      share: MemoryShare.CallerAnswers,
+      get heldBytes () { return readHeldBytes() },
+      // The calls end with their callers' time limits.
+      shed: () => false,
+      shedStalled: () => false
+    })
   }
 
   /** Number of open connections. */
@@ -119,6 +136,9 @@
       port: this.#options.peerPort,
       clock: this.#options.clock,
       hello: this.#options.hello,
+      memory: this.#options.memory,
+      onHeldBytes: addedBytes => { this.#heldBytes += addedBytes },
+      onLimitExceeded: this.#options.onLimitExceeded,
       nextCallNumber: () => ++this.#lastCallNumber,
       onUnresponsive: isUnresponsive => {
         this.#options.log.event(isUnresponsive ? 'peer_lost' : 'peer_regained', { peer: ip })
--- a/src/mesh/peerReports.ts
+++ b/src/mesh/peerReports.ts
@@ -7,6 +7,7 @@
 export enum LimitedPeer {
   BackendServer = 'backend_server',
   Caller = 'caller',
+  Node = 'node',
   Operator = 'operator',
   Store = 'store'
 }
