Send parts of long bodies without copying them

What was seen: a request of 64 MiB up and down took the node of the server to 253 MB of 250, with 128 MiB held.

Cause: each part was packed, copied behind its length and left two buffers; a node that only sends does not check for free buffers.

Change: the head of a part's frame is encoded by hand, and the part follows as it is, in one system call.

A spec compares the frame with one that was packed whole.

--- a/src/mesh/frameSocket.ts
+++ b/src/mesh/frameSocket.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net'
 import { bodyPieces, type MessageBody } from '../http/messageBody.js'
-import { encodeFrame, FrameKind, FrameReader, type Frame } from './frames.js'
+import { encodeBodyPartHead } from './bodyPartHead.js'
+import { encodeFrame, FrameReader, type Frame } from './frames.js'
 
 /** Parts of long bodies wait while more than this is unsent, so that other frames are not held up behind them. */
 const BACKLOG_MAX_BYTES = 256 * 1024
@@ -140,7 +141,10 @@
     // Moves the transfer behind the others, so that all get their turn.
     this.#transfers.delete(number)
     if (!isLast) this.#transfers.set(number, transfer)
-    this.#socket.write(encodeFrame({ kind: FrameKind.BodyPart, number, bytes }))
+    this.#socket.cork()
+    this.#socket.write(encodeBodyPartHead(number, bytes.length))
+    this.#socket.write(bytes)
+    this.#socket.uncork()
     onPart(isLast)
   }
 }
--- a/src/mesh/frames.spec.ts
+++ b/src/mesh/frames.spec.ts
@@ -1,4 +1,5 @@
 import { pack, unpack } from 'msgpackr'
+import { encodeBodyPartHead } from './bodyPartHead.js'
 import { encodeFrame, FrameKind, FrameReader } from './frames.js'
 import { RefusalReason, type ResultReport } from './meshTypes.js'
 
@@ -45,3 +46,12 @@
   expect(entry!.refusedRatio ?? 0).toBeGreaterThanOrEqual(0)
   expect(entry!.refusedRatio ?? 0).toBeLessThanOrEqual(1)
 })
+
+test.each([[0], [7], [0xFFFF_FFFF], [0x1_0000_0000], [Number.MAX_SAFE_INTEGER]])(
+  'a part of the body of call %d is the same frame as if it had been packed whole', number => {
+    const bytes = Buffer.alloc(70_000, 'part')
+    const frames = new FrameReader().read(Buffer.concat([encodeBodyPartHead(number, bytes.length), bytes]))
+    expect(frames).toEqual([{ kind: FrameKind.BodyPart, number, bytes }])
+    expect(new FrameReader().read(encodeFrame(frames[0]!))).toEqual(frames)
+  }
+)
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -34,7 +34,8 @@
 
 /** Longest accepted frame. An answer of the greatest allowed size (64 MB) fits into it with its head. */
 const FRAME_MAX_BYTES = 80 * 1024 * 1024
-const LENGTH_BYTES = 4
+/** Length of a frame, before it. */
+export const LENGTH_BYTES = 4
 
 /** A notice on its way to all nodes. */
 export interface SpreadCopy extends SpreadId {
