Count bytes of bodies that have not been read yet

What was seen: 1,000 bodies of 0.5 MB at once took a node to 184 MB and 73 MB of received and unread bytes, 257 of 250 together. The platform counts both.

Cause: what the kernel holds for a body was not part of the account, so any number of bodies was accepted at the same time.

Change: a body that is being received counts with up to 64 KiB more than has been read, but not beyond its length.

--- a/src/http/callerConnection.ts
+++ b/src/http/callerConnection.ts
@@ -20,6 +20,8 @@
 const PIPELINED_MAX_COUNT = 16
 /** Memory that a connection takes without a message. */
 const CONNECTION_MEMORY_BYTES = 12 * 1024
+/** Bytes of a body that the operating system may have received before they are read. */
+const UNREAD_BODY_MAX_BYTES = 64 * 1024
 /** A caller that takes nothing of its answer for this long, or a longer idle timeout, has left. */
 const UNREAD_ANSWER_MAX_MS: Millis = 30_000
 
@@ -56,6 +58,10 @@
   #completeHeadBytes = 0
   /** Bytes in the bodies of this connection's open requests. */
   #heldBytes = 0
+  /** Length of the body that is being received, as far as it is known. */
+  #expectedBodyBytes = 0
+  /** What is counted for the body that is being received. */
+  #receivingBytes = 0
   #countedMemoryBytes = 0
   #currentRequest: IncomingRequest | null = null
   #currentParsed: ParsedRequest | null = null
@@ -119,7 +125,7 @@
   /** Bytes of bodies that have not been passed on: of the one that is being received and of pipelined requests. */
   get undeliveredBytes (): number {
     if (this.#phase === 'closing') return 0
-    return this.#body.lengthBytes + this.#pipelinedRequests.reduce((sum, { bodyBytes }) => sum + bodyBytes, 0)
+    return this.#receivingBytes + this.#pipelinedRequests.reduce((sum, { bodyBytes }) => sum + bodyBytes, 0)
   }
 
   /** Memory of the head that is being received; its request has not been passed on. */
@@ -151,6 +157,15 @@
     this.#server.addHeldBytes(bytes)
   }
 
+  /** Counts the body that is being received, with what the operating system may hold of it. */
+  #countBody (): void {
+    const { lengthBytes } = this.#body
+    const unreadBytes = Math.min(UNREAD_BODY_MAX_BYTES, Math.max(0, this.#expectedBodyBytes - lengthBytes))
+    const addedBytes = lengthBytes + unreadBytes - this.#receivingBytes
+    this.#receivingBytes += addedBytes
+    this.#hold(addedBytes)
+  }
+
   /** Counts the memory of the connection and of the heads of its open requests. */
   #countMemory (): void {
     const isOver = this.#phase === 'closing' || this.#isClosed
@@ -170,8 +185,13 @@
     const lengthBytes = Number(headerValue(head.headers, 'content-length') ?? 0)
     if (lengthBytes > this.#server.options.bounds().bodyMaxBytes) this.#rejectByLimit(MessageLimit.Body, 413)
     else if (!this.#server.acceptsBodyLength(lengthBytes)) this.#rejectByLimit(MessageLimit.Bodies, 503)
-    else if (headerValue(head.headers, 'expect')?.toLowerCase() === '100-continue') {
-      this.#socket.write('HTTP/1.1 100 Continue\r\n\r\n')
+    else {
+      if (headerValue(head.headers, 'expect')?.toLowerCase() === '100-continue') {
+        this.#socket.write('HTTP/1.1 100 Continue\r\n\r\n')
+      }
+      const isChunked = headerValue(head.headers, 'transfer-encoding') !== undefined
+      this.#expectedBodyBytes = isChunked ? Infinity : lengthBytes
+      if (this.#expectedBodyBytes > 0) this.#countBody()
     }
     return false
   }
@@ -183,7 +203,7 @@
     else if (!this.#server.acceptsBodyLength(bytes)) this.#rejectByLimit(MessageLimit.Bodies, 503)
     else {
       this.#body.append(chunk)
-      this.#hold(chunk.length)
+      this.#countBody()
     }
   }
 
@@ -191,6 +211,9 @@
     const head = this.#head
     if (head === null || this.#phase === 'closing') return
     const bodyBytes = this.#body.lengthBytes
+    this.#expectedBodyBytes = bodyBytes
+    this.#countBody()
+    this.#receivingBytes = 0
     const body = bodyBytes === 0 ? EMPTY_BODY : this.#body.takeBody()
     const headMemoryBytes = this.#completeHeadBytes
     this.#openHeadsBytes += headMemoryBytes
@@ -298,6 +321,7 @@
     this.#body.clear()
     this.#parser.discard()
     this.#openHeadsBytes = 0
+    this.#receivingBytes = 0
     this.#hold(-this.#heldBytes)
   }
 
