Bound what callers make ragwortspur-node hold

Each body and each answer had a limit of 1 MiB, but 4,000 connections could hold 4 GB of bodies, and as much of answers that nobody reads. Silent connections kept others out.

The body that keeps most for longest is refused with 503 memory_full, unread answers reset their connection, the largest incoming answer is given up. A connection that has been silent for a second or more makes room for a new one.

Result: a new test with 40 stalling bodies of 1 MB and 150 MB of memory; the tests of src/node pass. The operators' port has no such limits yet.

--- a/src/core/coreTypes.ts
+++ b/src/core/coreTypes.ts
@@ -72,7 +72,9 @@
   MalformedCall = 'malformed_call',
   SlowSender = 'slow_sender',
   ImportanceNotAllowed = 'importance_not_allowed',
-  TooManyConnections = 'too_many_connections'
+  TooManyConnections = 'too_many_connections',
+  /** What peers make the process hold has reached its limit. */
+  MemoryFull = 'memory_full'
 }
 
 /** A broken invariant, found by a module's own check. */
--- a/src/core/nodeCore/statusCodes.ts
+++ b/src/core/nodeCore/statusCodes.ts
@@ -36,6 +36,7 @@
     case Reason.LeaseNotHeld:
     case Reason.ConnectFailed:
     case Reason.TooManyConnections:
+    case Reason.MemoryFull:
       return 503
     case Reason.DeadlinePassed:
     case Reason.DeadlineTooShort:
--- a/src/node/backendLink.ts
+++ b/src/node/backendLink.ts
@@ -2,6 +2,7 @@
 import { Reason } from '../core/coreTypes.js'
 import { BackendStatus } from '../core/nodeCore/nodeCoreTypes.js'
 import { ConnectionPool } from './connectionPool.js'
+import type { NodeHoldings } from './holdings.js'
 import type { Cancellation, PoolRequest, PoolResult } from './connectionPool.js'
 
 const PROBE_PERIOD_MS: Millis = 500
@@ -15,6 +16,7 @@
   readonly address: string
   readonly clock: Clock
   readonly connectionsMaxCount: number
+  readonly holdings?: NodeHoldings
   readonly onStatus: (status: BackendStatus) => void
   /** Called when connections were lost and no new one can be opened. */
   readonly onCrash: () => void
@@ -44,7 +46,10 @@
   constructor (options: BackendLinkOptions) {
     this.#options = options
     this.#pool = new ConnectionPool(options.address, {
-      clock: options.clock, connectionsMaxCount: options.connectionsMaxCount, identifiesAnswers: true
+      clock: options.clock,
+      connectionsMaxCount: options.connectionsMaxCount,
+      identifiesAnswers: true,
+      ...(options.holdings === undefined ? {} : { holdings: options.holdings })
     })
   }
 
--- a/src/node/callServer.spec.ts
+++ b/src/node/callServer.spec.ts
@@ -80,6 +80,18 @@
   })
 })
 
+// Bodies had a limit each and none together: 4,000 connections could hold 4 GB.
+test('bodies that stall on many connections are bounded together, and ordinary calls are served meanwhile', async () => {
+  await world.start(1, {}, { memoryMb: 150 })
+  const raws = Array.from({ length: 40 }, () => {
+    return openRawConnection(world.nodes[0]!, `${POST_HEAD}content-length: 1000001\r\n\r\n${'x'.repeat(1_000_000)}`)
+  })
+  const refusedCount = (): number => raws.filter(raw => raw.read().includes('ragwortspur-reason: memory_full')).length
+  await waitUntil(() => refusedCount() >= 20)
+  expect(await call(world.nodes[0]!)).toMatchObject({ status: 200 })
+  for (const raw of raws) raw.socket.destroy()
+})
+
 test('the body of a request that offers an upgrade arrives whole', async () => {
   await world.start(1)
   world.backends[0]!.onCall = (_request, response, body) => { response.end(`got ${body.toString()}`) }
--- a/src/node/callServer.ts
+++ b/src/node/callServer.ts
@@ -1,9 +1,10 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Millis } from '../clock/clock.js'
+import type { Clock, Millis } from '../clock/clock.js'
 import { Reason } from '../core/coreTypes.js'
 import { BodyBuffer } from '../http/bodyBuffer.js'
+import type { NodeHoldings } from './holdings.js'
 import { refusalAnswer, refusalResponseText, Reply } from './reply.js'
 
 const HEAD_MAX_BYTES = 16_384
@@ -13,6 +14,9 @@
 /** Connections above the limit that still get an answer with the reason; any more are closed at once. */
 const REFUSED_CONNECTIONS_MAX_COUNT = 64
 
+/** A connection without a request that has been silent for at least this long makes room for a new one. */
+const SILENT_MIN_MS: Millis = 1_000
+
 /** Timeouts of the server for callers. */
 export interface CallServerTimes {
   readonly headTimeoutMs: Millis
@@ -41,6 +45,8 @@
   readonly host: string
   readonly port: number
   readonly connectionsMaxCount: number
+  readonly clock: Clock
+  readonly holdings: NodeHoldings
   /** Called for a request once its body is complete. */
   readonly onCall: (message: IncomingMessage, body: Uint8Array | null, reply: Reply) => void
   /** Answers the node's own paths below `/ragwortspur/`; returns false for any other path. */
@@ -70,6 +76,8 @@
   readonly #openCallsCounts = new Map<Socket, number>()
   readonly #refusedSockets = new WeakSet<Socket>()
   readonly #errorAnsweredSockets = new WeakSet<Socket>()
+  /** Connections without an open request, and since when. */
+  readonly #silentSinceMs = new Map<Socket, Millis>()
   #connectionsCount = 0
   #isClosing = false
 
@@ -90,7 +98,7 @@
       this.#refuseConnection(socket, reasonForClientError(error.code))
     })
     this.#server.on('checkExpectation', (_message: IncomingMessage, response: ServerResponse) => {
-      new Reply(response).sendAndClose(refusalAnswer(Reason.MalformedCall))
+      this.#createReply(response).sendAndClose(refusalAnswer(Reason.MalformedCall))
     })
   }
 
@@ -119,14 +127,35 @@
 
   #countConnection (socket: Socket): void {
     this.#connectionsCount += 1
-    if (this.#connectionsCount > this.#options.connectionsMaxCount) this.#refusedSockets.add(socket)
-    socket.once('close', () => { this.#connectionsCount -= 1 })
+    const isFull = this.#connectionsCount > this.#options.connectionsMaxCount
+    if (isFull && !this.#closeSilent()) this.#refusedSockets.add(socket)
+    this.#markSilent(socket)
+    socket.once('close', () => {
+      this.#connectionsCount -= 1
+      this.#silentSinceMs.delete(socket)
+    })
+  }
+
+  #markSilent (socket: Socket): void {
+    this.#silentSinceMs.delete(socket)
+    if (!socket.destroyed) this.#silentSinceMs.set(socket, this.#options.clock.monotonicMs())
+  }
+
+  /** Closes the connection that has been silent for longest. */
+  #closeSilent (): boolean {
+    const [oldest] = this.#silentSinceMs
+    if (oldest === undefined || this.#options.clock.monotonicMs() - oldest[1] < SILENT_MIN_MS) return false
+    this.#silentSinceMs.delete(oldest[0])
+    oldest[0].destroy()
+    return true
   }
 
   #receiveRequest (message: IncomingMessage, response: ServerResponse): void {
     if (this.#isClosing) response.shouldKeepAlive = false
+    this.#silentSinceMs.delete(message.socket)
+    response.once('close', () => this.#markSilent(message.socket))
     if (this.#refusedSockets.has(message.socket)) {
-      this.#refuseRequest(message, new Reply(response), Reason.TooManyConnections)
+      this.#refuseRequest(message, this.#createReply(response), Reason.TooManyConnections)
       return
     }
     if (message.url?.startsWith('/ragwortspur/') === true && this.#options.onOwnPath(message, response)) return
@@ -136,11 +165,23 @@
     else this.#deliverCall(message, null, response)
   }
 
+  #createReply (response: ServerResponse): Reply {
+    return new Reply(response, bytes => this.#options.holdings.addAnswer(response, bytes))
+  }
+
   #readBody (message: IncomingMessage, response: ServerResponse): void {
     if (Number(message.headers['content-length'] ?? 0) > BODY_MAX_BYTES) {
-      this.#refuseRequest(message, new Reply(response), Reason.BodyTooLarge)
+      this.#refuseRequest(message, this.#createReply(response), Reason.BodyTooLarge)
       return
     }
+    const { holdings } = this.#options
+    let isRefused = false
+    const refuse = (reason: Reason): void => {
+      isRefused = true
+      body.clear()
+      holdings.dropBody(message)
+      this.#refuseRequest(message, this.#createReply(response), reason)
+    }
     const body = new BodyBuffer()
     let sizeBytes = 0
     let piecesCount = 0
@@ -151,14 +192,21 @@
         message.pause()
         setImmediate(() => message.resume())
       }
-      if (sizeBytes <= BODY_MAX_BYTES) body.append(chunk)
-      else if (body.lengthBytes > 0) {
-        body.clear()
-        this.#refuseRequest(message, new Reply(response), Reason.BodyTooLarge)
+      if (isRefused) return
+      if (sizeBytes > BODY_MAX_BYTES) refuse(Reason.BodyTooLarge)
+      else {
+        body.append(chunk)
+        holdings.addBodyPiece(message, chunk.byteLength, () => refuse(Reason.MemoryFull))
       }
     })
     message.on('end', () => {
-      if (sizeBytes <= BODY_MAX_BYTES) this.#deliverCall(message, body.take(), response)
+      if (isRefused) return
+      holdings.keepBody(message, response)
+      this.#deliverCall(message, body.take(), response)
+    })
+    message.on('close', () => {
+      // A complete body has been passed on.
+      if (!message.complete) holdings.dropBody(message)
     })
     message.on('error', () => body.clear())
   }
@@ -171,7 +219,7 @@
       if (remainingCount > 0) this.#openCallsCounts.set(socket, remainingCount)
       else this.#openCallsCounts.delete(socket)
     })
-    this.#options.onCall(message, body, new Reply(response))
+    this.#options.onCall(message, body, this.#createReply(response))
   }
 
   /** Answers a request whose sender may still be sending, then closes the connection. */
--- a/src/node/callTask.ts
+++ b/src/node/callTask.ts
@@ -3,6 +3,7 @@
 import type { Answer, NodeCommand, NodeEvent, IncomingCall } from '../core/nodeCore/nodeCoreTypes.js'
 import type { BackendLink } from './backendLink.js'
 import { forwardedHeaders } from './callReader.js'
+import type { NodeHoldings } from './holdings.js'
 import type { Reply } from './reply.js'
 import { Cancellation, ConnectionPool } from './connectionPool.js'
 import type { PoolRequest } from './connectionPool.js'
@@ -20,6 +21,7 @@
 export interface CallTaskOptions {
   readonly clock: Clock
   readonly backend: BackendLink
+  readonly holdings: NodeHoldings
   readonly emit: (event: NodeEvent) => void
 }
 
@@ -106,6 +108,7 @@
     if (existing !== undefined) return existing
     const pool = new ConnectionPool(address, {
       clock: this.#options.clock,
+      holdings: this.#options.holdings,
       connectionsMaxCount: PEER_CONNECTIONS_MAX_COUNT,
       probePath: '/ragwortspur/ping'
     })
--- a/src/node/connectionPool.ts
+++ b/src/node/connectionPool.ts
@@ -255,6 +255,10 @@
     this.#finishCloseIfDrained()
   }
 
+  onPiece (call: PoolCall, bytes: number): void {
+    this.#options.holdings?.addServerAnswerPiece(call, bytes, () => this.onFailed(call, Reason.BodyTooLarge))
+  }
+
   onUnsent (call: PoolCall, error: Error): void {
     // undici refused to write the request, so the failure says nothing about the address.
     const isInvalid = (error as { code?: string }).code === 'UND_ERR_INVALID_ARG'
@@ -284,6 +288,7 @@
 
   #settleCall (call: PoolCall, result: PoolResult): void {
     call.hasEnded = true
+    this.#options.holdings?.removeServerAnswer(call)
     const pending = this.#pendingCalls.get(call)
     this.#pendingCalls.delete(call)
     if (pending === undefined) return
--- a/src/node/nodeSettings.ts
+++ b/src/node/nodeSettings.ts
@@ -55,6 +55,12 @@
       default: '400',
       allowed: '1 to 10000'
     },
+    memoryMb: {
+      describe: 'Memory that the process may use, in MB; what callers make it hold is kept within it',
+      schema: z.coerce.number().int().min(150).max(1_000_000),
+      default: '1024',
+      allowed: '150 to 1000000'
+    },
     stopTimeoutMs: {
       describe: 'Longest time in ms that a graceful stop waits for open calls',
       schema: z.coerce.number().int().min(0).max(600_000),
--- a/src/node/nodeShell.ts
+++ b/src/node/nodeShell.ts
@@ -10,6 +10,8 @@
 import type { IncomingCall, NodeCommand, NodeEvent } from '../core/nodeCore/nodeCoreTypes.js'
 import { Reason } from '../core/coreTypes.js'
 import { assertNever } from '../errors/errors.js'
+import { memoryAccountDefinition, memoryLimitsOf } from '../core/memoryAccount/memoryAccountDefinition.js'
+import { NodeHoldings } from './holdings.js'
 import { log } from '../log/log.js'
 import { BackendLink } from './backendLink.js'
 import { CallServer } from './callServer.js'
@@ -79,20 +81,27 @@
       dataCentre: settings.dataCentre,
       controlEnabled: settings.control === 'on'
     }, settingsWithoutMechanisms(settings.without), Math.random, this.#readClocks())
+    const memory = memoryAccountDefinition.createDb(memoryLimitsOf(settings.memoryMb))
+    const holdings = new NodeHoldings(memory, this.#clock)
     this.#backendLink = new BackendLink({
+      holdings,
       address: settings.backendAddress,
       clock: this.#clock,
       connectionsMaxCount: settings.backendConnectionsMax,
       onStatus: status => this.emit({ kind: 'backend_seen', status }),
       onCrash: () => this.emit({ kind: 'backend_crashed' })
     })
-    this.#callTask = new CallTask({ clock: this.#clock, backend: this.#backendLink, emit: event => this.emit(event) })
+    this.#callTask = new CallTask({
+      clock: this.#clock, backend: this.#backendLink, holdings, emit: event => this.emit(event)
+    })
     this.#controlTask = new ControlTask({ settings, db: this.#db, clock: this.#clock, emit: event => this.emit(event) })
     this.#senderView = this.#createSenderView()
     this.#callServer = new CallServer({
       ...options.times,
       ...parseAddress(settings.callAddress),
       connectionsMaxCount: settings.connectionsMax,
+      clock: this.#clock,
+      holdings,
       onCall: (message, body, reply) => this.#receiveCall(message, body, reply),
       onOwnPath: (message, response) => this.#answerOwnPath(message, response)
     })
--- a/src/node/poolCall.ts
+++ b/src/node/poolCall.ts
@@ -17,6 +17,7 @@
 export interface CallOwner {
   onAnswered (call: PoolCall, answer: Omit<PoolAnswer, 'kind' | 'tookMs'>, reusable: boolean): void
   onFailed (call: PoolCall, reason: PoolFailureReason): void
+  onPiece (call: PoolCall, bytes: number): void
   /** The connection closed before a byte of the request was written. */
   onUnsent (call: PoolCall, error: Error): void
 }
@@ -90,6 +91,7 @@
       return
     }
     this.#body.append(chunk)
+    this.#owner.onPiece(this, chunk.length)
     this.#piecesCount += 1
     if (this.#piecesCount % PIECES_PER_TURN_MAX !== 0) return
     controller.pause()
--- a/src/node/poolTypes.ts
+++ b/src/node/poolTypes.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis } from '../clock/clock.js'
 import type { Reason } from '../core/coreTypes.js'
+import type { NodeHoldings } from './holdings.js'
 import type { ConnectionEvent } from '../core/routing/routingTypes.js'
 
 /** One HTTP/1.1 request. Header names are lower case, without hop-by-hop headers. */
@@ -85,6 +86,8 @@
 export interface ConnectionPoolOptions extends Partial<PoolBounds> {
   readonly clock: Clock
   readonly onEvent?: (address: string, event: ConnectionEvent) => void
+  /** Counts what is held of answers that arrive. */
+  readonly holdings?: NodeHoldings
   /** Replaces the pool's own rate limit of connects, for example by `RoutingModule.mayConnect`. */
   readonly mayConnect?: () => boolean
 }
--- a/src/node/reply.ts
+++ b/src/node/reply.ts
@@ -12,9 +12,12 @@
   readonly #response: ServerResponse
   onCallerGone: () => void = () => {}
   #ended = false
+  readonly #onWritten: (bytes: number) => void
 
-  constructor (response: ServerResponse) {
+  /** `onWritten` is called with the size of the answer's body after the answer was written. */
+  constructor (response: ServerResponse, onWritten: (bytes: number) => void = () => {}) {
     this.#response = response
+    this.#onWritten = onWritten
     response.on('close', () => {
       if (!this.#ended) this.onCallerGone()
       this.#ended = true
@@ -27,6 +30,7 @@
     this.#ended = true
     this.#response.writeHead(answer.status, responseHeaders(answer, this.#response.req.method === 'HEAD'))
     this.#response.end(answer.body)
+    this.#onWritten(answer.body.byteLength)
   }
 
   /** Sends an answer and closes the connection. */
--- a/src/testing/testNodeCluster.ts
+++ b/src/testing/testNodeCluster.ts
@@ -84,7 +84,7 @@
   }
 }
 
-type ConnectionLimits = Partial<Pick<NodeSettings, 'connectionsMax' | 'backendConnectionsMax'>>
+type ConnectionLimits = Partial<Pick<NodeSettings, 'connectionsMax' | 'backendConnectionsMax' | 'memoryMb'>>
 
 /** Nodes with one backend server each. They use real loopback sockets and a clock that only the test advances. */
 export class TestNodeCluster {
@@ -145,6 +145,7 @@
       without: [],
       connectionsMax: 100,
       backendConnectionsMax: 50,
+      memoryMb: 1_024,
       stopTimeoutMs: 30_000,
       ...limits
     }, {
