Check stalled answers again, and write shared pieces once

The stall time stood in two files, the reading of a declared length in two, and the sum of what is held had a default that nobody used.

Change: the spec with eight stalling servers is back, with the bound of the account: at most 6 MiB held, others answered, nothing held afterwards. One constant, one function, no default. Behaviour stays as it was.

--- a/src/core/memoryAccount/memoryAccountDetector.ts
+++ b/src/core/memoryAccount/memoryAccountDetector.ts
@@ -12,10 +12,10 @@
 /** Up to this part, the own server's answers are so few that one more may take the whole limit. */
 const FEW_ANSWERS_RATIO = 1 / 32
 
-/** Bytes held in some shares, by default in all of them. */
-export function heldBytes (db: MemoryAccountDb, shares?: readonly MemoryShare[]): number {
+/** Bytes held in some shares. */
+export function heldBytes (db: MemoryAccountDb, shares: readonly MemoryShare[]): number {
   let bytes = 0
-  for (const holder of db.holders) if (shares === undefined || shares.includes(holder.share)) bytes += holder.heldBytes
+  for (const holder of db.holders) if (shares.includes(holder.share)) bytes += holder.heldBytes
   return bytes
 }
 
--- a/src/core/memoryAccount/memoryAccountTypes.ts
+++ b/src/core/memoryAccount/memoryAccountTypes.ts
@@ -1,3 +1,5 @@
+import type { Millis } from '../../clock/clock.js'
+
 /** Parts of the memory that peers make the process hold. */
 export enum MemoryShare {
   /** Connections of callers, and the heads of their requests. */
@@ -12,6 +14,9 @@
   CallerAnswers = 'caller_answers'
 }
 
+/** While others wait for memory, a peer that has made no progress for this long loses what is held for it. */
+export const STALLED_MIN_MS: Millis = 500
+
 /** A part of the program that holds bytes for peers. */
 export interface MemoryHolder {
   readonly share: MemoryShare
@@ -19,7 +24,7 @@
   readonly heldBytes: number
   /** Gives up what is least worth keeping. Returns false if there is nothing that may be given up. */
   shed (): boolean
-  /** Gives up something for which a peer has made no progress lately. Returns false if there is no such thing. */
+  /** Gives up something of which a peer took or sent nothing for `STALLED_MIN_MS`. Returns false without any. */
   shedStalled (): boolean
 }
 
--- a/src/http/callerConnection.ts
+++ b/src/http/callerConnection.ts
@@ -7,7 +7,7 @@
 import { bodyLength, type MessageBody } from './messageBody.js'
 import { MessageLimit, MessageLimitError } from './messageLimits.js'
 import { MessageParser, type MessageHead } from './messageParser.js'
-import { headerValue, joinMessage } from './messageText.js'
+import { declaredLengthBytes, headerValue, joinMessage } from './messageText.js'
 import { PacedReader } from './pacedReader.js'
 
 const EMPTY_BODY = Buffer.alloc(0)
@@ -186,7 +186,7 @@
     this.#head = head
     this.#completeHeadBytes = this.#parser.headMemoryBytes
     if (this.#phase !== 'waiting' && this.#phase !== 'sending') this.#enterPhase('body')
-    const lengthBytes = Number(headerValue(head.headers, 'content-length') ?? 0)
+    const lengthBytes = declaredLengthBytes(head.headers)
     if (lengthBytes > this.#server.options.bounds().bodyMaxBytes) this.#rejectByLimit(MessageLimit.Body, 413)
     else if (!this.#server.acceptsBodyLength(lengthBytes)) this.#rejectByLimit(MessageLimit.Bodies, 503)
     else {
--- a/src/http/callerServer.ts
+++ b/src/http/callerServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import type { Millis } from '../clock/clock.js'
 import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
-import { MemoryShare } from '../core/memoryAccount/memoryAccountTypes.js'
+import { MemoryShare, STALLED_MIN_MS } from '../core/memoryAccount/memoryAccountTypes.js'
 import { CallerConnection } from './callerConnection.js'
 import type { CallerServerOptions } from './callerServerTypes.js'
 import { MessageLimit } from './messageLimits.js'
@@ -10,8 +10,6 @@
 
 /** Interval of the checks for idle connections and slow senders. */
 const TIMEOUT_CHECK_PERIOD_MS: Millis = 500
-/** While others wait for memory, a caller that has made no progress for this long loses what is held for it. */
-const STALLED_MIN_MS: Millis = 500
 
 /** The connection with the largest value above 0, or undefined. */
 function largestBy (
--- a/src/http/exchangeConnection.ts
+++ b/src/http/exchangeConnection.ts
@@ -9,7 +9,7 @@
 import { MessageLimit, MessageLimitError } from './messageLimits.js'
 import { MessageParser, type MessageHead } from './messageParser.js'
 import { bodyPieces } from './messageBody.js'
-import { headerValue, keepAliveSeconds } from './messageText.js'
+import { declaredLengthBytes, keepAliveSeconds } from './messageText.js'
 import { PacedReader } from './pacedReader.js'
 
 /** Largest accepted answer head; no correct backend server sends a larger one. */
@@ -212,7 +212,7 @@
   }
 
   #reserveDeclared (head: MessageHead): void {
-    const lengthBytes = Number(headerValue(head.headers, 'content-length') ?? 0)
+    const lengthBytes = declaredLengthBytes(head.headers)
     if (lengthBytes > this.#pool.options.answerMaxBytes) this.failByLimit(MessageLimit.Body)
     else if (lengthBytes > UNRESERVED_MAX_BYTES) this.#reserve(lengthBytes)
   }
--- a/src/http/exchangePool.spec.ts
+++ b/src/http/exchangePool.spec.ts
@@ -152,6 +152,30 @@
     expect(fixture.limits).toEqual([])
   })
 
+  test('many bodies that stall are bounded together, others are answered meanwhile, and nothing stays held', async () => {
+    await startPool((socket, text) => {
+      const id = /GET \/(\w+)/.exec(text)![1]!
+      if (id === 'sound') {
+        socket.write('HTTP/1.1 200 OK\r\nid: sound\r\nContent-Length: 0\r\n\r\n')
+        return
+      }
+      socket.write(`HTTP/1.1 200 OK\r\nid: ${id}\r\nContent-Length: ${4 * MIB}\r\n\r\n`)
+      socket.write(Buffer.alloc(3 * MIB))
+    })
+    for (let count = 0; count < 8; count++) void fixture.send(`r${count}`)
+    let mostHeldBytes = 0
+    for (let count = 0; count < 60; count++) {
+      memoryAccountDefinition.sweep(fixture.memory)
+      mostHeldBytes = Math.max(mostHeldBytes, fixture.pool.heldBytes)
+      await new Promise(resolve => setTimeout(resolve, 5))
+    }
+    expect(mostHeldBytes).toBeGreaterThan(0)
+    expect(mostHeldBytes).toBeLessThanOrEqual(6 * MIB)
+    expect(await fixture.send('sound')).toMatchObject({ kind: 'answered' })
+    fixture.pool.closeAll()
+    expect([fixture.pool.heldBytes, fixture.memory.waiting.size]).toEqual([0, 0])
+  })
+
   test('an answer with a head in several pieces is read after one with a long body', async () => {
     await startPool((socket, _text, number) => {
       if (number === 0) {
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -2,7 +2,7 @@
 import type { Clock, Millis } from '../clock/clock.js'
 import type { MemoryAccountDb } from '../core/memoryAccount/memoryAccountDb.js'
 import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
-import { MemoryShare, type MemoryHolder } from '../core/memoryAccount/memoryAccountTypes.js'
+import { MemoryShare, STALLED_MIN_MS, type MemoryHolder } from '../core/memoryAccount/memoryAccountTypes.js'
 import { bodyLength } from '../http/messageBody.js'
 import { MessageLimit, type LimitListener } from '../http/messageLimits.js'
 import { FrameKind, type Frame, type Hello, type SpreadCopy } from './frames.js'
@@ -19,8 +19,6 @@
 const RESULT_RETENTION_MS: Millis = 1_500
 /** How long a result is retained whose body the peer has not asked for. */
 const UNSENT_RESULT_RETENTION_MS: Millis = 10_000
-/** While others wait for memory, a result of which nothing was taken for this long is given up. */
-const STALLED_MIN_MS: Millis = 500
 /** Time for the handshake on a new connection. */
 const HANDSHAKE_TIMEOUT_MS: Millis = 2_000
 /** The running calls of a peer that does not reconnect within this time are cancelled. */
