Test long bodies between nodes of older builds

Cause: says that nodes of older builds get whole frames, and nothing had shown it.

Change: a spec with two sides that do not state acceptsParts.

--- a/src/mesh/peerLink.spec.ts
+++ b/src/mesh/peerLink.spec.ts
@@ -52,6 +52,8 @@
   readonly linkMemory = memoryAccountDefinition.createDb(MEMORY_LIMITS)
   readonly serverMemory = memoryAccountDefinition.createDb(MEMORY_LIMITS)
   linkHeldBytes = 0
+  /** False for nodes of older builds. */
+  acceptsParts = true
   relay!: Relay
   server!: PeerServer
   link!: PeerLink
@@ -68,7 +70,7 @@
       ip: '127.0.0.1',
       port,
       clock: systemClock,
-      hello: { ...HELLO, incarnation: 'client-1' },
+      hello: { ...HELLO, acceptsParts: this.acceptsParts, incarnation: 'client-1' },
       memory: this.linkMemory,
       onHeldBytes: addedBytes => { this.linkHeldBytes += addedBytes },
       onLimitExceeded: () => {},
@@ -86,7 +88,7 @@
       host: '127.0.0.1',
       port: this.#serverPort,
       clock: systemClock,
-      hello: { ...HELLO, incarnation },
+      hello: { ...HELLO, acceptsParts: this.acceptsParts, incarnation },
       memory: this.serverMemory,
       connectionsMaxCount: 10,
       onLimitExceeded: () => {},
@@ -299,4 +301,18 @@
     expect(harness.dispatched.length).toBe(1)
     expect(harness.linkHeldBytes).toBe(0)
   })
+
+  test('travel in whole frames between nodes of older builds', async () => {
+    harness.close()
+    harness = new PeerLinkHarness()
+    harness.acceptsParts = false
+    await harness.start()
+    harness.dispatch('a', LONG_BODY)
+    await harness.until(() => harness.dispatched.length === 1)
+    expect(LONG_BODY.equals(joinBody(harness.dispatched[0]!.call.body))).toBe(true)
+    harness.answerCall(0, LONG_ANSWER)
+    await harness.until(() => harness.ended.length === 1)
+    expect(LONG_BODY.equals(endedBodies()[0]!)).toBe(true)
+    expect(harness.linkHeldBytes).toBe(0)
+  })
 })
