Keep no more of a body's parts than its bytes

Cause: a part that arrives can be a slice of the joined bytes of several frames. BodyBuffer keeps a slice of half its buffer or more as it is, so up to twice the counted bytes stayed in memory.

Change: the receiver copies each part.

The kept bytes themselves were not measured.

--- a/src/mesh/incomingBody.ts
+++ b/src/mesh/incomingBody.ts
@@ -12,7 +12,8 @@
 
   /** Adds a part. Returns the body once it is complete. Throws a RangeError if it is longer than announced. */
   append (part: Uint8Array): MessageBody | null {
-    this.#buffer.append(Buffer.from(part.buffer, part.byteOffset, part.byteLength))
+    // A part can be a slice of the bytes of several frames, which would be kept as a whole.
+    this.#buffer.append(Buffer.from(part))
     if (this.#buffer.lengthBytes > this.expectedBytes) throw new RangeError(`body above ${this.expectedBytes} bytes`)
     return this.#buffer.lengthBytes === this.expectedBytes ? this.#buffer.takeBody() : null
   }
