Take body lengths from the parser, decode frames without copies

Change: the parser, which has read the length, passes it on with the head. Frames are decoded without a copy. A write has a callback only if bytes are left. The account finds holders by their share.

--- a/src/core/memoryAccount/memoryAccountDefinition.ts
+++ b/src/core/memoryAccount/memoryAccountDefinition.ts
@@ -27,6 +27,7 @@
 /** Adds a holder. Those that are added first are the first to give up something. */
 function addHolder (db: MemoryAccountDb, holder: MemoryHolder): void {
   db.holders.push(holder)
+  db.holdersByShare[holder.share].push(holder)
 }
 
 /** Lets holders give up something until all limits are kept. */
--- a/src/core/memoryAccount/memoryAccountDetector.ts
+++ b/src/core/memoryAccount/memoryAccountDetector.ts
@@ -15,7 +15,7 @@
 /** Bytes held in some shares. */
 export function heldBytes (db: MemoryAccountDb, shares: readonly MemoryShare[]): number {
   let bytes = 0
-  for (const holder of db.holders) if (shares.includes(holder.share)) bytes += holder.heldBytes
+  for (const share of shares) for (const holder of db.holdersByShare[share]) bytes += holder.heldBytes
   return bytes
 }
 
--- a/src/http/answerWriter.ts
+++ b/src/http/answerWriter.ts
@@ -4,6 +4,7 @@
 
 /** A long answer is written in pieces of this size, so that it can be seen how far its reader is. */
 const PIECE_BYTES = 128 * 1024
+const EMPTY_PIECE = Buffer.alloc(0)
 
 /**
  * Writes answers to a socket as fast as the peer takes them, and counts what it has not taken.
@@ -41,12 +42,14 @@
   /** Writes a message. `onSent` is called once the operating system has accepted all of it, possibly at once. */
   write (message: MessageBody, onSent: () => void): void {
     if (this.#unsentBytes === 0 && !isInPieces(message) && message.length <= PIECE_BYTES && message.length > 0) {
-      this.#socket.write(message, this.#onWritten)
+      this.#socket.write(message)
       // The usual case, in which nothing has to be kept.
       if (this.#socket.writableLength === 0) {
         onSent()
         return
       }
+      // Its callback follows that of the message, which would take time in the usual case as well.
+      this.#socket.write(EMPTY_PIECE, this.#onWritten)
       this.#onSent = onSent
       this.#progressAtMs = this.#clock.monotonicMs()
       this.#setUnsent(this.#socket.writableLength)
--- a/src/http/callerConnection.ts
+++ b/src/http/callerConnection.ts
@@ -7,7 +7,7 @@
 import { bodyLength, type MessageBody } from './messageBody.js'
 import { MessageLimit, MessageLimitError } from './messageLimits.js'
 import { MessageParser, type MessageHead } from './messageParser.js'
-import { declaredLengthBytes, headerValue, joinMessage } from './messageText.js'
+import { headerValue, joinMessage } from './messageText.js'
 import { PacedReader } from './pacedReader.js'
 
 const EMPTY_BODY = Buffer.alloc(0)
@@ -186,16 +186,15 @@
     this.#head = head
     this.#completeHeadBytes = this.#parser.headMemoryBytes
     if (this.#phase !== 'waiting' && this.#phase !== 'sending') this.#enterPhase('body')
-    const lengthBytes = declaredLengthBytes(head.headers)
-    if (lengthBytes > this.#server.options.bounds().bodyMaxBytes) this.#rejectByLimit(MessageLimit.Body, 413)
-    else if (!this.#server.acceptsBodyLength(lengthBytes)) this.#rejectByLimit(MessageLimit.Bodies, 503)
+    const declaredBytes = head.bodyBytes === Infinity ? 0 : head.bodyBytes
+    if (declaredBytes > this.#server.options.bounds().bodyMaxBytes) this.#rejectByLimit(MessageLimit.Body, 413)
+    else if (!this.#server.acceptsBodyLength(declaredBytes)) this.#rejectByLimit(MessageLimit.Bodies, 503)
     else {
       if (headerValue(head.headers, 'expect')?.toLowerCase() === '100-continue') {
         this.#socket.write('HTTP/1.1 100 Continue\r\n\r\n')
       }
-      const isChunked = headerValue(head.headers, 'transfer-encoding') !== undefined
-      this.#expectedBodyBytes = isChunked ? Infinity : lengthBytes
-      if (this.#expectedBodyBytes > 0) this.#countBody()
+      this.#expectedBodyBytes = head.bodyBytes
+      if (head.bodyBytes > 0) this.#countBody()
     }
     return false
   }
--- a/src/http/exchangeConnection.ts
+++ b/src/http/exchangeConnection.ts
@@ -8,8 +8,8 @@
 import { AnswerMatch, BrokenCause, type Exchange, type ExchangeRequest } from './exchangeTypes.js'
 import { MessageLimit, MessageLimitError } from './messageLimits.js'
 import { MessageParser, type MessageHead } from './messageParser.js'
-import { bodyPieces } from './messageBody.js'
-import { declaredLengthBytes, keepAliveSeconds } from './messageText.js'
+import { isInPieces } from './messageBody.js'
+import { keepAliveSeconds } from './messageText.js'
 import { PacedReader } from './pacedReader.js'
 
 /** Largest accepted answer head; no correct backend server sends a larger one. */
@@ -117,7 +117,10 @@
   }
 
   #writeRequest (): void {
-    for (const piece of bodyPieces(this.#request?.bytes ?? [])) this.#socket.write(piece)
+    const bytes = this.#request?.bytes
+    if (bytes === undefined) return
+    if (!isInPieces(bytes)) this.#socket.write(bytes)
+    else for (const piece of bytes) this.#socket.write(piece)
   }
 
   #onData (chunk: Buffer): void {
@@ -198,7 +201,7 @@
       case AnswerMatch.Own:
         this.#isSkippingAnswer = false
         this.#head = head
-        if (!request.isHead) this.#reserveDeclared(head)
+        if (!request.isHead && head.bodyBytes < Infinity) this.#reserveDeclared(head.bodyBytes)
         return
       case AnswerMatch.OtherRequest:
         this.#hasSkippedAnswer = true
@@ -211,8 +214,7 @@
     }
   }
 
-  #reserveDeclared (head: MessageHead): void {
-    const lengthBytes = declaredLengthBytes(head.headers)
+  #reserveDeclared (lengthBytes: number): void {
     if (lengthBytes > this.#pool.options.answerMaxBytes) this.failByLimit(MessageLimit.Body)
     else if (lengthBytes > UNRESERVED_MAX_BYTES) this.#reserve(lengthBytes)
   }
--- a/src/http/messageParser.ts
+++ b/src/http/messageParser.ts
@@ -39,6 +39,8 @@
   readonly keepAlive: boolean
   /** False for a response that ends when its connection closes. */
   readonly hasLength: boolean
+  /** Declared length of the body, or Infinity if only its end will show it. */
+  readonly bodyBytes: number
 }
 
 export interface ParserCallbacks {
@@ -180,7 +182,8 @@
         statusText: info.statusMessage,
         headers: info.headers,
         keepAlive: info.shouldKeepAlive,
-        hasLength: parser.isChunked || parser.body_bytes !== null
+        hasLength: parser.isChunked || parser.body_bytes !== null,
+        bodyBytes: parser.isChunked ? Infinity : parser.body_bytes ?? Infinity
       })
       return isBodiless ? 1 : 0
     }
--- a/src/http/messageText.ts
+++ b/src/http/messageText.ts
@@ -18,11 +18,6 @@
   return undefined
 }
 
-/** Length of the body that a head declares, or 0 without one. */
-export function declaredLengthBytes (headers: readonly string[]): number {
-  return Number(headerValue(headers, 'content-length') ?? 0)
-}
-
 /** Lower-case header names listed in the `Connection` header. */
 function connectionOptions (headers: readonly string[]): string[] {
   const value = headerValue(headers, 'connection')
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -256,45 +256,36 @@
   }
 }
 
-function decodeCall (fields: readonly unknown[]): { number: number, call: DispatchedCall } {
+function decodeCall (fields: readonly unknown[]): DispatchedCall {
   const [
-    , number, serviceName, serverId, requestId, method, target, headerText, body, remainingMs, waitMaxMs, rank,
+    , , serviceName, serverId, requestId, method, target, headerText, body, remainingMs, waitMaxMs, rank,
     mayRepeatFlag, rootId, rootRoute, rootImportanceRank, depth, retryFlag, knownLimitPerS, workspaceName
   ] = fields as [
-    unknown, number, string, string, string, string, string, string, Buffer, number, number, number, number,
+    unknown, unknown, string, string, string, string, string, string, Buffer, number, number, number, number,
     string, string, number, number, number, number | null | undefined, string | null | undefined
   ]
   return {
-    number,
-    call: {
-      serviceName,
-      serverId,
-      requestId,
-      method,
-      target,
-      headerText,
-      body,
-      remainingMs,
-      queueWaitMaxMs: waitMaxMs,
-      rank,
-      mayRepeat: mayRepeatFlag === 1,
-      knownLimitPerS: knownLimitPerS ?? null,
-      workspaceName: workspaceName ?? null,
-      traceContext: { rootId, rootRoute, rootImportanceRank, depth, isRetry: retryFlag === 1 }
-    }
+    serviceName,
+    serverId,
+    requestId,
+    method,
+    target,
+    headerText,
+    body,
+    remainingMs,
+    queueWaitMaxMs: waitMaxMs,
+    rank,
+    mayRepeat: mayRepeatFlag === 1,
+    knownLimitPerS: knownLimitPerS ?? null,
+    workspaceName: workspaceName ?? null,
+    traceContext: { rootId, rootRoute, rootImportanceRank, depth, isRetry: retryFlag === 1 }
   }
 }
 
-function decodeAnswer (fields: readonly unknown[]): { number: number, report: ResultReport, result: AnsweredResult } {
-  const [, number, report, statusCode, statusText, headerText, body, servedMs, hasLengthFlag] =
-    fields as [unknown, number, unknown, number, string, string, Buffer, number, number]
-  return {
-    number,
-    report: decodeReport(report),
-    result: {
-      kind: 'answered', statusCode, statusText, headerText, body, servedMs, hasLength: hasLengthFlag === 1
-    }
-  }
+function decodeAnswer (fields: readonly unknown[]): AnsweredResult {
+  const [, , , statusCode, statusText, headerText, body, servedMs, hasLengthFlag] =
+    fields as [unknown, unknown, unknown, number, string, string, Buffer, number, number]
+  return { kind: 'answered', statusCode, statusText, headerText, body, servedMs, hasLength: hasLengthFlag === 1 }
 }
 
 function decodeLength (field: unknown): number {
@@ -310,11 +301,24 @@
         fields as [unknown, string, string, string, string, number | undefined]
       return { kind, hello: { incarnation, ip, dataCentre, serviceName, acceptsParts: acceptsPartsFlag === 1 } }
     }
-    case FrameKind.Call: return { kind, ...decodeCall(fields) }
-    case FrameKind.Answered: return { kind, ...decodeAnswer(fields) }
-    case FrameKind.LongCall: return { kind, bodyBytes: decodeLength(fields[1]), ...decodeCall(fields[2] as unknown[]) }
+    case FrameKind.Call: return { kind, number: fields[1] as number, call: decodeCall(fields) }
+    case FrameKind.Answered:
+      return { kind, number: fields[1] as number, report: decodeReport(fields[2]), result: decodeAnswer(fields) }
+    case FrameKind.LongCall: {
+      const callFields = fields[2] as unknown[]
+      return {
+        kind, bodyBytes: decodeLength(fields[1]), number: callFields[1] as number, call: decodeCall(callFields)
+      }
+    }
     case FrameKind.LongAnswer: {
-      return { kind, bodyBytes: decodeLength(fields[1]), ...decodeAnswer(fields[2] as unknown[]) }
+      const answerFields = fields[2] as unknown[]
+      return {
+        kind,
+        bodyBytes: decodeLength(fields[1]),
+        number: answerFields[1] as number,
+        report: decodeReport(answerFields[2]),
+        result: decodeAnswer(answerFields)
+      }
     }
     case FrameKind.BodyPart: return { kind, number: fields[1] as number, bytes: fields[2] as Buffer }
     case FrameKind.NotRun: {
--- a/src/mesh/peerServer.ts
+++ b/src/mesh/peerServer.ts
@@ -340,7 +340,7 @@
   #sweep (): void {
     const nowMs = this.#options.clock.monotonicMs()
     for (const [incarnation, session] of this.#sessions) {
-      this.#expireResults(session, nowMs)
+      if (session.results.size > 0) this.#expireResults(session, nowMs)
       for (const number of session.overdueNumbers(nowMs)) session.endIncomplete(number)
       if (session.socket !== null || nowMs - session.disconnectedAtMs < ORPHAN_TIMEOUT_MS) continue
       session.cancelAllExcept(new Set())
--- a/src/mesh/peerSession.ts
+++ b/src/mesh/peerSession.ts
@@ -110,6 +110,7 @@
 
   /** Numbers of incomplete calls whose time is up. */
   overdueNumbers (nowMs: Millis): number[] {
+    if (this.#incompleteCalls.size === 0) return []
     return [...this.#incompleteCalls].filter(([, { call, receivedAtMs }]) => {
       return nowMs - receivedAtMs >= call.remainingMs
     }).map(([number]) => number)
