Keep ragwortspur-node within its memory and descriptors

Cause: an answer that waits behind another one has no socket yet and was not counted, and the end of one answer ended the count of all on its connection. A response that waits behind another one gets no close event when its connection ends, so what its request held stayed counted.

Change: answers are counted one by one, at most 16 requests wait on a connection, and responses that wait are told of the end of their connection. Unread bytes of bodies count as in the mesh, and 140 MB are left to the process.

--- a/src/core/memoryAccount/memoryAccountDefinition.ts
+++ b/src/core/memoryAccount/memoryAccountDefinition.ts
@@ -4,7 +4,7 @@
 
 const BYTES_PER_MB = 1_000_000
 /** The program and its heap, and buffers that are free but not collected yet. */
-const PROCESS_BYTES = 110 * BYTES_PER_MB
+const PROCESS_MB = 110
 /** Least part of the memory that is left for what is held, if the process itself needs nearly all. */
 const HELD_MIN_RATIO = 1 / 8
 /** The limits may be exceeded by this much. */
@@ -13,14 +13,15 @@
 const CONNECTIONS_MAX_BYTES = 40 * BYTES_PER_MB
 
 /**
- * Limits of a process that may use so much memory, in MB of a million bytes.
+ * Limits of a process that may use so much memory, in MB of a million bytes. `processMb` is what the program itself and
+ * its heap take of it, which depends on the flags of Node.js.
  *
  * @example
  * memoryLimitsOf(250).sideBytes // 70_000_000
  */
-export function memoryLimitsOf (memoryMb: number): MemoryLimits {
+export function memoryLimitsOf (memoryMb: number, processMb = PROCESS_MB): MemoryLimits {
   const memoryBytes = memoryMb * BYTES_PER_MB
-  const sideBytes = Math.max(memoryBytes - PROCESS_BYTES, memoryBytes * HELD_MIN_RATIO) / 2
+  const sideBytes = Math.max(memoryBytes - processMb * BYTES_PER_MB, memoryBytes * HELD_MIN_RATIO) / 2
   return { sideBytes, connectionsBytes: Math.min(CONNECTIONS_MAX_BYTES, sideBytes / 2) }
 }
 
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -67,7 +67,7 @@
     const { settings, clock, random, log } = options
     this.reportLimits = createLimitReporter(log, this.#metrics)
     this.#stop = new GracefulStop(clock, settings.stopGraceMs)
-    this.#memory = createMemoryAccount(settings)
+    this.#memory = createMemoryAccount(settings.memoryMb)
     const sockets = new SocketShares(settings, this.#configuration)
     this.#hello = createHello(settings, random)
     this.#discovery = discoveryDefinition.createDb({ heartbeatPeriodMs: settings.heartbeatPeriodMs })
--- a/src/mesh/nodeServers.ts
+++ b/src/mesh/nodeServers.ts
@@ -1,9 +1,6 @@
 import type { Clock, Millis } from '../clock/clock.js'
 import type { ConfigurationDb } from '../core/configuration/configurationDb.js'
 import type { CallerLimits } from '../core/configuration/configurationTypes.js'
-import { memoryAccountDefinition, memoryLimitsOf } from '../core/memoryAccount/memoryAccountDefinition.js'
-import type { MemoryAccountDb } from '../core/memoryAccount/memoryAccountDb.js'
-import { BufferCollection } from '../http/bufferCollection.js'
 import { CallerServer, type CallerServerOptions } from '../http/callerServer.js'
 import { ExchangePool, type ExchangePoolOptions } from '../http/exchangePool.js'
 import { ADMIN_CONNECTIONS_MAX_COUNT, createAdminServer, type AdminServerOptions } from './adminServer.js'
@@ -11,6 +8,8 @@
 import type { MeshNodeOptions, MeshNodeSettings } from './meshNodeTypes.js'
 import { RefusalReason } from './meshTypes.js'
 
+export { createMemoryAccount } from '../http/bufferCollection.js'
+
 /** Limits on callers' requests until the first configuration is in force. */
 const LIMITS_BEFORE_CONFIGURATION: CallerLimits = {
   headMaxBytes: 16_384, bodyMaxBytes: 1_048_576, headTimeoutMs: 5_000, idleTimeoutMs: 30_000
@@ -65,14 +64,6 @@
   }
 }
 
-/** Account of what peers make the process hold, by its settings. */
-export function createMemoryAccount ({ memoryMb }: MeshNodeSettings): MemoryAccountDb {
-  const memory = memoryAccountDefinition.createDb(memoryLimitsOf(memoryMb))
-  const collection = new BufferCollection()
-  memory.onArrival = bytes => collection.recordArrival(bytes)
-  return memory
-}
-
 /** Connections to the node's own backend server. */
 export function createBackendPool (
   settings: MeshNodeSettings, clock: Clock, sockets: SocketShares,
--- a/src/node/callServer.ts
+++ b/src/node/callServer.ts
@@ -5,17 +5,20 @@
 import { Reason } from '../core/coreTypes.js'
 import { BodyBuffer } from '../http/bodyBuffer.js'
 import type { NodeHoldings } from './holdings.js'
+import { NodeLimit } from './limitCounts.js'
 import { refusalAnswer, refusalResponseText, Reply } from './reply.js'
+import { SilentConnections } from './silentConnections.js'
 
 const HEAD_MAX_BYTES = 16_384
 const BODY_MAX_BYTES = 1_048_576
+/** Bytes of a body that the operating system may have received before they are read. */
+const UNREAD_BODY_MAX_BYTES = 64 * 1024
 /** Pieces of a body that are read in one turn of the event loop, so that very many small ones do not hold up others. */
 const PIECES_PER_TURN_MAX = 512
 /** Connections above the limit that still get an answer with the reason; any more are closed at once. */
 const REFUSED_CONNECTIONS_MAX_COUNT = 64
-
-/** A connection without a request that has been silent for at least this long makes room for a new one. */
-const SILENT_MIN_MS: Millis = 1_000
+/** Requests that may be open on one connection; callers of the platform do not pipeline. */
+const PIPELINED_MAX_COUNT = 16
 
 /** Timeouts of the server for callers. */
 export interface CallServerTimes {
@@ -76,13 +79,15 @@
   readonly #openCallsCounts = new Map<Socket, number>()
   readonly #refusedSockets = new WeakSet<Socket>()
   readonly #errorAnsweredSockets = new WeakSet<Socket>()
-  /** Connections without an open request, and since when. */
-  readonly #silentSinceMs = new Map<Socket, Millis>()
+  readonly #silentConnections: SilentConnections
+  /** Responses that are not over, by connection. */
+  readonly #openResponses = new Map<Socket, Set<ServerResponse>>()
   #connectionsCount = 0
   #isClosing = false
 
   constructor (options: CallServerOptions) {
     this.#options = options
+    this.#silentConnections = new SilentConnections(options.clock)
     this.#times = { ...CALL_SERVER_TIMES, ...options }
     this.#server = createServer({
       maxHeaderSize: HEAD_MAX_BYTES,
@@ -128,33 +133,40 @@
   #countConnection (socket: Socket): void {
     this.#connectionsCount += 1
     const isFull = this.#connectionsCount > this.#options.connectionsMaxCount
-    if (isFull && !this.#closeSilent()) this.#refusedSockets.add(socket)
-    this.#markSilent(socket)
+    if (isFull && !this.#silentConnections.closeOldest()) this.#refusedSockets.add(socket)
+    this.#silentConnections.add(socket)
+    this.#openResponses.set(socket, new Set())
     socket.once('close', () => {
       this.#connectionsCount -= 1
-      this.#silentSinceMs.delete(socket)
+      this.#silentConnections.remove(socket)
+      this.#endResponses(socket)
     })
   }
 
-  #markSilent (socket: Socket): void {
-    this.#silentSinceMs.delete(socket)
-    if (!socket.destroyed) this.#silentSinceMs.set(socket, this.#options.clock.monotonicMs())
-  }
-
-  /** Closes the connection that has been silent for longest. */
-  #closeSilent (): boolean {
-    const [oldest] = this.#silentSinceMs
-    if (oldest === undefined || this.#options.clock.monotonicMs() - oldest[1] < SILENT_MIN_MS) return false
-    this.#silentSinceMs.delete(oldest[0])
-    oldest[0].destroy()
-    return true
+  /** Node.js tells only the response whose turn it is that its connection is closed. */
+  #endResponses (socket: Socket): void {
+    const responses = this.#openResponses.get(socket) ?? []
+    this.#openResponses.delete(socket)
+    for (const response of responses) if (response.socket === null) response.emit('close')
   }
 
   #receiveRequest (message: IncomingMessage, response: ServerResponse): void {
+    const { socket } = message
+    const openResponses = this.#openResponses.get(socket)
+    if (openResponses === undefined || socket.destroyed) return
+    if (openResponses.size >= PIPELINED_MAX_COUNT) {
+      this.#options.holdings.limits.record(NodeLimit.PipelinedRequests)
+      socket.destroy()
+      return
+    }
+    openResponses.add(response)
     if (this.#isClosing) response.shouldKeepAlive = false
-    this.#silentSinceMs.delete(message.socket)
-    response.once('close', () => this.#markSilent(message.socket))
-    if (this.#refusedSockets.has(message.socket)) {
+    this.#silentConnections.remove(socket)
+    response.once('close', () => {
+      openResponses.delete(response)
+      if (openResponses.size === 0) this.#silentConnections.add(socket)
+    })
+    if (this.#refusedSockets.has(socket)) {
       this.#refuseRequest(message, this.#createReply(response), Reason.TooManyConnections)
       return
     }
@@ -185,6 +197,15 @@
     const body = new BodyBuffer()
     let sizeBytes = 0
     let piecesCount = 0
+    let countedBytes = 0
+    /** Counts the body, with what the operating system may hold of it. */
+    const count = (expectedBytes: number): void => {
+      const unreadBytes = Math.min(UNREAD_BODY_MAX_BYTES, Math.max(0, expectedBytes - sizeBytes))
+      const addedBytes = sizeBytes + unreadBytes - countedBytes
+      countedBytes += addedBytes
+      holdings.addBodyBytes(message, addedBytes, () => refuse(Reason.MemoryFull))
+    }
+    const declaredBytes = Number(message.headers['content-length'] ?? Infinity)
     message.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.byteLength
       piecesCount += 1
@@ -196,10 +217,11 @@
       if (sizeBytes > BODY_MAX_BYTES) refuse(Reason.BodyTooLarge)
       else {
         body.append(chunk)
-        holdings.addBodyPiece(message, chunk.byteLength, () => refuse(Reason.MemoryFull))
+        count(declaredBytes)
       }
     })
     message.on('end', () => {
+      if (!isRefused) count(sizeBytes)
       if (isRefused) return
       holdings.keepBody(message, response)
       this.#deliverCall(message, body.take(), response)
@@ -209,6 +231,7 @@
       if (!message.complete) holdings.dropBody(message)
     })
     message.on('error', () => body.clear())
+    count(declaredBytes)
   }
 
   #deliverCall (message: IncomingMessage, body: Uint8Array | null, response: ServerResponse): void {
--- a/src/node/holdings.ts
+++ b/src/node/holdings.ts
@@ -4,7 +4,7 @@
 import type { MemoryAccountDb } from '../core/memoryAccount/memoryAccountDb.js'
 import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
 import { MemoryShare, type MemoryHolder } from '../core/memoryAccount/memoryAccountTypes.js'
-import { log } from '../log/log.js'
+import { LimitCounts, NodeLimit } from './limitCounts.js'
 
 /** Bytes that are held for one peer. */
 interface Held {
@@ -18,13 +18,15 @@
   readonly share: MemoryShare
   readonly #memory: MemoryAccountDb
   readonly #clock: Clock
+  readonly #limits: LimitCounts
   readonly #entries = new Map<Key, Held>()
   /** Of the bytes that are held, those that may not be given up any more. */
   #keptBytes = 0
   #heldBytes = 0
 
-  constructor (share: MemoryShare, memory: MemoryAccountDb, clock: Clock) {
+  constructor (share: MemoryShare, memory: MemoryAccountDb, clock: Clock, limits: LimitCounts) {
     this.share = share
+    this.#limits = limits
     this.#memory = memory
     this.#clock = clock
     memoryAccountDefinition.addHolder(memory, this)
@@ -43,6 +45,16 @@
     memoryAccountDefinition.enforce(this.#memory)
   }
 
+  /** The peer has taken some of what is held for it. */
+  subtract (key: Key, bytes: number): void {
+    const held = this.#entries.get(key)
+    if (held === undefined) return
+    held.bytes -= bytes
+    held.changedAtMs = this.#clock.monotonicMs()
+    this.#heldBytes -= bytes
+    if (held.bytes === 0) this.#entries.delete(key)
+  }
+
   /** Ends what is held for a peer. */
   remove (key: Key): void {
     this.#heldBytes -= this.#entries.get(key)?.bytes ?? 0
@@ -72,7 +84,7 @@
     }
     if (worst === undefined) return false
     const [key, { bytes, giveUp }] = worst
-    log.info({ event: 'memory_given_up', share: this.share, bytes })
+    this.#limits.record(NodeLimit.Memory, { share: this.share, bytes })
     this.remove(key)
     giveUp()
     return true
@@ -88,15 +100,20 @@
   readonly #unreadAnswers: Holdings<Socket>
   readonly #bodies: Holdings<IncomingMessage>
   readonly #serverAnswers: Holdings<object>
+  readonly #memory: MemoryAccountDb
+  /** How often limits on what peers may do were exceeded. */
+  readonly limits = new LimitCounts()
 
   constructor (memory: MemoryAccountDb, clock: Clock) {
-    this.#unreadAnswers = new Holdings(MemoryShare.CallerAnswers, memory, clock)
-    this.#bodies = new Holdings(MemoryShare.Requests, memory, clock)
-    this.#serverAnswers = new Holdings(MemoryShare.ServerAnswers, memory, clock)
+    this.#memory = memory
+    this.#unreadAnswers = new Holdings(MemoryShare.CallerAnswers, memory, clock, this.limits)
+    this.#bodies = new Holdings(MemoryShare.Requests, memory, clock, this.limits)
+    this.#serverAnswers = new Holdings(MemoryShare.ServerAnswers, memory, clock, this.limits)
   }
 
-  /** Counts a piece of a request's body. `refuse` is called if it is given up before it is complete. */
-  addBodyPiece (message: IncomingMessage, bytes: number, refuse: () => void): void {
+  /** Counts bytes of a request's body. `refuse` is called if it is given up before it is complete. */
+  addBodyBytes (message: IncomingMessage, bytes: number, refuse: () => void): void {
+    if (bytes > 0) this.#memory.onArrival(bytes)
     this.#bodies.add(message, bytes, refuse)
   }
 
@@ -111,14 +128,16 @@
 
   /** Counts an answer until its caller has taken it. If it is given up, the connection is reset. */
   addAnswer (response: ServerResponse, bytes: number): void {
+    // An answer that waits behind another one on its connection has no socket yet, but holds its bytes as well.
+    if (response.writableLength === 0) return
     const { socket } = response.req
-    if (socket.writableLength === 0) return
     this.#unreadAnswers.add(socket, bytes, () => socket.resetAndDestroy())
-    response.once('close', () => this.#unreadAnswers.remove(socket))
+    response.once('close', () => this.#unreadAnswers.subtract(socket, bytes))
   }
 
   /** Counts a piece of an answer that arrives. `fail` is called if it is given up. */
   addServerAnswerPiece (call: object, bytes: number, fail: () => void): void {
+    this.#memory.onArrival(bytes)
     this.#serverAnswers.add(call, bytes, fail)
   }
 
--- a/src/node/nodeShell.ts
+++ b/src/node/nodeShell.ts
@@ -10,7 +10,7 @@
 import type { IncomingCall, NodeCommand, NodeEvent } from '../core/nodeCore/nodeCoreTypes.js'
 import { Reason } from '../core/coreTypes.js'
 import { assertNever } from '../errors/errors.js'
-import { memoryAccountDefinition, memoryLimitsOf } from '../core/memoryAccount/memoryAccountDefinition.js'
+import { createMemoryAccount } from '../http/bufferCollection.js'
 import { NodeHoldings } from './holdings.js'
 import { log } from '../log/log.js'
 import { BackendLink } from './backendLink.js'
@@ -30,6 +30,8 @@
 import { refusalAnswer, Reply } from './reply.js'
 
 const TICK_PERIOD_MS = 20
+/** The program and its heap, with the young generation that Node.js has without flags. */
+const PROCESS_MB = 140
 const VALUES_PATH = '/ragwortspur/values/'
 
 export interface NodeShellOptions {
@@ -81,7 +83,7 @@
       dataCentre: settings.dataCentre,
       controlEnabled: settings.control === 'on'
     }, settingsWithoutMechanisms(settings.without), Math.random, this.#readClocks())
-    const memory = memoryAccountDefinition.createDb(memoryLimitsOf(settings.memoryMb))
+    const memory = createMemoryAccount(settings.memoryMb, PROCESS_MB)
     const holdings = new NodeHoldings(memory, this.#clock)
     this.#backendLink = new BackendLink({
       holdings,
@@ -105,9 +107,11 @@
       onCall: (message, body, reply) => this.#receiveCall(message, body, reply),
       onOwnPath: (message, response) => this.#answerOwnPath(message, response)
     })
-    const view = createOperatorView({ db: this.#db, clock: this.#clock, getTraffic: () => this.#controlTask.traffic() })
+    const view = createOperatorView({
+      db: this.#db, clock: this.#clock, getTraffic: () => this.#controlTask.traffic(), limits: holdings.limits
+    })
     const { host, port } = parseAddress(settings.operatorAddress)
-    this.#operatorServer = new OperatorServer(host, port, view)
+    this.#operatorServer = new OperatorServer(host, port, view, this.#clock, holdings.limits)
   }
 
   /** Address on which calls are accepted; a port 0 in the setting is replaced by the port in use. */
--- a/src/node/operatorView.ts
+++ b/src/node/operatorView.ts
@@ -11,6 +11,7 @@
 import { nodeCoreDefinition } from '../core/nodeCore/nodeCoreDefinition.js'
 import { retryDefinition } from '../core/retry/retryDefinition.js'
 import { routingDefinition } from '../core/routing/routingDefinition.js'
+import type { LimitCounts } from './limitCounts.js'
 import type { OperatorView } from './operatorServer.js'
 
 /** Bytes of control traffic that the node has sent and received. */
@@ -23,16 +24,20 @@
   readonly db: NodeCoreDb
   readonly clock: Clock
   readonly getTraffic: () => ControlTraffic
+  readonly limits: LimitCounts
 }
 
 /** Creates the status and metrics for operators from the state of the core. */
-export function createOperatorView ({ db, clock, getTraffic: traffic }: OperatorSources): OperatorView {
+export function createOperatorView ({ db, clock, getTraffic: traffic, limits }: OperatorSources): OperatorView {
   const startedAtMs = clock.monotonicMs()
   return {
     isLive: () => db.nodeState !== 'stopped',
     isReady: () => nodeCoreDefinition.isReady(db, clock.wallMs()),
     status: () => buildStatus(db, clock, traffic(), startedAtMs),
-    collectMetrics: registry => collectMetrics(registry, db, clock)
+    collectMetrics: registry => {
+      collectMetrics(registry, db, clock)
+      collectLimitCounts(registry, limits)
+    }
   }
 }
 
@@ -105,6 +110,16 @@
   }
 }
 
+function collectLimitCounts (registry: Registry, limits: LimitCounts): void {
+  const exceeded = new Counter({
+    name: 'ragwortspur_limits_exceeded_total',
+    help: 'Times that a limit on what peers make the node hold was exceeded',
+    labelNames: ['limit'],
+    registers: [registry]
+  })
+  for (const [limit, count] of limits.counts) exceeded.inc({ limit }, count)
+}
+
 function collectLatencies (registry: Registry, db: NodeCoreDb): void {
   const latency = new Gauge({
     name: 'ragwortspur_call_latency_ms',
