Derive what is busy from what is silent, and drop dead state

Change: `SilentConnections.remove` tells whether the connection was silent. LimitCounts takes the clock of its node. Behaviour, checks and bounds are as they were.

--- a/src/node/holdings.ts
+++ b/src/node/holdings.ts
@@ -20,8 +20,6 @@
   readonly #clock: Clock
   readonly #limits: LimitCounts
   readonly #entries = new Map<Key, Held>()
-  /** Of the bytes that are held, those that may not be given up any more. */
-  #keptBytes = 0
   #heldBytes = 0
 
   constructor (share: MemoryShare, memory: MemoryAccountDb, clock: Clock, limits: LimitCounts) {
@@ -65,11 +63,7 @@
   keep (key: Key): () => void {
     const bytes = this.#entries.get(key)?.bytes ?? 0
     this.#entries.delete(key)
-    this.#keptBytes += bytes
-    return () => {
-      this.#keptBytes -= bytes
-      this.#heldBytes -= bytes
-    }
+    return () => { this.#heldBytes -= bytes }
   }
 
   shed (): boolean {
@@ -102,10 +96,11 @@
   readonly #serverAnswers: Holdings<object>
   readonly #memory: MemoryAccountDb
   /** How often limits on what peers may do were exceeded. */
-  readonly limits = new LimitCounts()
+  readonly limits: LimitCounts
 
   constructor (memory: MemoryAccountDb, clock: Clock) {
     this.#memory = memory
+    this.limits = new LimitCounts(clock)
     this.#unreadAnswers = new Holdings(MemoryShare.CallerAnswers, memory, clock, this.limits)
     this.#bodies = new Holdings(MemoryShare.Requests, memory, clock, this.limits)
     this.#serverAnswers = new Holdings(MemoryShare.ServerAnswers, memory, clock, this.limits)
--- a/src/node/limitCounts.ts
+++ b/src/node/limitCounts.ts
@@ -1,3 +1,4 @@
+import type { Clock, Millis } from '../clock/clock.js'
 import { log } from '../log/log.js'
 
 /** Limits on what peers make the process hold. */
@@ -11,7 +12,7 @@
 }
 
 /** Least time between two log lines of the same limit. */
-const LOG_PERIOD_MS = 1_000
+const LOG_PERIOD_MS: Millis = 1_000
 
 /**
  * Counts how often limits are exceeded, and logs it at most once a second for each.
@@ -20,8 +21,13 @@
  * limits.record(NodeLimit.PipelinedRequests)
  */
 export class LimitCounts {
+  readonly #clock: Clock
   readonly #counts = new Map<NodeLimit, number>()
-  readonly #loggedAtMs = new Map<NodeLimit, number>()
+  readonly #loggedAtMs = new Map<NodeLimit, Millis>()
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
 
   get counts (): ReadonlyMap<NodeLimit, number> {
     return this.#counts
@@ -30,7 +36,7 @@
   record (limit: NodeLimit, fields: Record<string, unknown> = {}): void {
     const count = (this.#counts.get(limit) ?? 0) + 1
     this.#counts.set(limit, count)
-    const nowMs = performance.now()
+    const nowMs = this.#clock.monotonicMs()
     if (nowMs - (this.#loggedAtMs.get(limit) ?? -Infinity) < LOG_PERIOD_MS) return
     this.#loggedAtMs.set(limit, nowMs)
     log.info({ event: 'limit_exceeded', limit, count, ...fields })
--- a/src/node/operatorServer.ts
+++ b/src/node/operatorServer.ts
@@ -29,8 +29,6 @@
   readonly #port: number
   readonly #limits: LimitCounts
   readonly #silentConnections: SilentConnections
-  /** Connections with an open request. */
-  readonly #busySockets = new WeakSet<Socket>()
   #connectionsCount = 0
 
   constructor (host: string, port: number, view: OperatorView, clock: Clock, limits: LimitCounts) {
@@ -72,17 +70,12 @@
   #receiveRequest (message: IncomingMessage, response: ServerResponse, answer: RequestListener): void {
     const { socket } = message
     if (socket.destroyed) return
-    if (this.#busySockets.has(socket)) {
+    if (!this.#silentConnections.remove(socket)) {
       this.#limits.record(NodeLimit.PipelinedRequests)
       socket.destroy()
       return
     }
-    this.#busySockets.add(socket)
-    this.#silentConnections.remove(socket)
-    response.once('close', () => {
-      this.#busySockets.delete(socket)
-      this.#silentConnections.add(socket)
-    })
+    response.once('close', () => this.#silentConnections.add(socket))
     answer(message, response)
   }
 
--- a/src/node/silentConnections.ts
+++ b/src/node/silentConnections.ts
@@ -24,8 +24,9 @@
     if (!socket.destroyed) this.#sinceMs.set(socket, this.#clock.monotonicMs())
   }
 
-  remove (socket: Socket): void {
-    this.#sinceMs.delete(socket)
+  /** Returns false if the connection has an open request already. */
+  remove (socket: Socket): boolean {
+    return this.#sinceMs.delete(socket)
   }
 
   /** Closes the connection that has been silent for longest. Returns false if none has been for some time. */
