--- a/review/lib-2/relay.mjs
+++ b/review/lib-2/relay.mjs
@@ -1,4 +1,4 @@
-// A relay in front of the `inbound` address of one machine. It can cut the connections of two machines from each other.
+// A relay in front of an address of one machine. It can cut machines off from each other, and silence connections for good.
 import { connect, createServer } from 'node:net'
 
 export class Relay {
@@ -20,7 +20,7 @@
 
   #accept (near) {
     const far = connect({ host: this.targetIp, port: this.port, noDelay: true })
-    const pair = { near, far, fromIp: null, waiting: [] }
+    const pair = { near, far, fromIp: null, isSilent: false, waiting: [] }
     this.#pairs.add(pair)
     near.setNoDelay(true)
     const forward = (from, to, side) => {
@@ -38,6 +38,7 @@
   }
 
   #pass (pair, act) {
+    if (pair.isSilent) return
     if (pair.fromIp !== null && this.isCut(pair.fromIp, this.ip)) pair.waiting.push(act)
     else act()
   }
@@ -47,6 +48,11 @@
     for (const pair of this.#pairs) for (const act of pair.waiting.splice(0)) act()
   }
 
+  /** Nothing passes any more on the connections that are open now, not even their end. New ones work. */
+  silence () {
+    for (const pair of this.#pairs) pair.isSilent = true
+  }
+
   close () {
     this.#server.close()
     for (const { near, far } of this.#pairs) { near.destroy(); far.destroy() }
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -289,13 +289,14 @@
       const vm = new Vm({ name: `sidecar-${plan.zone ?? 'tallinn'}-${at + 1}`, zone: 'tallinn', slots: 64, serverId: `i-${at + 1}a`, ...plan, ip: ips[at], listenIp: listenIps[at], ports: this.ports, backendPort })
       vm.bornMs = this.#bornMs + at
       vm.sequence = 1
-      vm.backend = new Backend({ ip: vm.ip, port: backendPort, serverId: vm.serverId, slots: vm.slots, service: vm.service, handle: plan.handle })
+      vm.backend = new Backend({ ip: vm.listenIp, port: backendPort, serverId: vm.serverId, slots: vm.slots, service: vm.service, handle: plan.handle })
       await vm.backend.listen()
       this.vms.push(vm)
       if (hasRelays) {
         const relay = new Relay({ ip: vm.ip, targetIp: vm.listenIp, port: inbound, isCut: (a, b) => this.#cutIps.has(a) !== this.#cutIps.has(b) })
-        await relay.listen()
-        this.#relays.push(relay)
+        const backendRelay = new Relay({ ip: vm.ip, targetIp: vm.listenIp, port: backendPort, isCut: () => false })
+        await Promise.all([relay.listen(), backendRelay.listen()])
+        this.#relays.push(relay, backendRelay)
       }
       this.putEntry(vm)
     }
@@ -350,6 +351,9 @@
     for (const relay of this.#relays) relay.heal()
   }
 
+  /** All open connections between the machines, and to backend servers, go silent for good. */
+  silence () { for (const relay of this.#relays) relay.silence() }
+
   async waitReady (vms = this.vms, withinMs = 20_000) {
     const untilMs = nowMs() + withinMs
     for (const vm of vms) {
