--- a/review/lib-2/relay.mjs
+++ b/review/lib-2/relay.mjs
@@ -53,6 +53,11 @@
     for (const pair of this.#pairs) pair.isSilent = true
   }
 
+  /** Resets the open connections. */
+  reset () {
+    for (const { near, far } of this.#pairs) { near.resetAndDestroy(); far.resetAndDestroy() }
+  }
+
   close () {
     this.#server.close()
     for (const { near, far } of this.#pairs) { near.destroy(); far.destroy() }
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -266,7 +266,7 @@
   #folder = mkdtempSync(join(tmpdir(), 'ragwortspur-review-'))
   #isClosing = false
   #bornMs = Date.now() - 60_000
-  #relays = []
+  relays = []
   #cutIps = new Set()
 
   constructor (record) { this.record = record }
@@ -277,7 +277,7 @@
     const ips = plans.map((_, at) => `${net}.${at + 1}`)
     const storeIp = `${net}.250`
     const listenIps = hasRelays ? plans.map((_, at) => `${net}.${at + 101}`) : ips
-    const [inbound, outbound, ready, backendPort, store] = await findFreePorts([...ips, ...listenIps, storeIp], 5)
+    const [inbound, outbound, ready, backendPort, store] = await findFreePorts([...new Set([...ips, ...listenIps, storeIp])], 5)
     this.ports = { inbound, outbound, ready, store, storeIp }
     await this.store.listen(storeIp, store)
     const services = [...new Set(plans.map(({ service }) => service))]
@@ -296,7 +296,7 @@
         const relay = new Relay({ ip: vm.ip, targetIp: vm.listenIp, port: inbound, isCut: (a, b) => this.#cutIps.has(a) !== this.#cutIps.has(b) })
         const backendRelay = new Relay({ ip: vm.ip, targetIp: vm.listenIp, port: backendPort, isCut: () => false })
         await Promise.all([relay.listen(), backendRelay.listen()])
-        this.#relays.push(relay, backendRelay)
+        this.relays.push(relay, backendRelay)
       }
       this.putEntry(vm)
     }
@@ -348,11 +348,11 @@
 
   heal () {
     this.#cutIps.clear()
-    for (const relay of this.#relays) relay.heal()
+    for (const relay of this.relays) relay.heal()
   }
 
   /** All open connections between the machines, and to backend servers, go silent for good. */
-  silence () { for (const relay of this.#relays) relay.silence() }
+  silence () { for (const relay of this.relays) relay.silence() }
 
   async waitReady (vms = this.vms, withinMs = 20_000) {
     const untilMs = nowMs() + withinMs
@@ -373,7 +373,7 @@
       node.kill('SIGKILL')
     })))
     for (const { backend } of this.vms) backend.close()
-    for (const relay of this.#relays) relay.close()
+    for (const relay of this.relays) relay.close()
     this.store.close()
     rmSync(this.#folder, { recursive: true, force: true })
   }
