--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -307,12 +307,20 @@
   /** Writes the config: routes by name with hostname, prefix, kind and service. */
   putConfig (version) {
     const routes = Object.fromEntries(Object.entries(this.routes).map(([name, route]) => [name, {
-      hostname: `${name}.example`, prefix: `/${name}/`, route_type: 'idempotent', timeout_ms: 5000,
-      target_latency_ms: 1500, priority: 2, max_attempts: 2, ...route
+      hostname: `${name}.example`,
+      prefix: `/${name}/`,
+      route_type: 'idempotent',
+      timeout_ms: 5000,
+      target_latency_ms: 1500,
+      priority: 2,
+      max_attempts: 2,
+      ...route
     }]))
     const services = Object.fromEntries(this.services.map(name => [name, { health_path: '/health', max_connections: 1252, protocol: 'h1', tls: false }]))
     this.store.put('op/config', JSON.stringify({
-      version: `r${version}`, routes, services,
+      version: `r${version}`,
+      routes,
+      services,
       limits: { max_header_bytes: 16384, max_body_bytes: 67108864, header_timeout_ms: 3000, idle_timeout_ms: 15000, ...this.limits }
     }))
   }
@@ -457,7 +465,7 @@
   const world = new World(record)
   const limit = setTimeout(() => {
     record.line('the case took too long')
-    void world.close().finally(() => process.exit(2))
+    world.close().finally(() => process.exit(2))
   }, 110_000)
   let code = 2
   try {
