--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -50,10 +50,20 @@
   return [...ports]
 }
 
+/** `beat_interval_ms` of the settings. */
+const BEAT_INTERVAL_MS = 1_500
+/** `history_s` of the settings. */
+const HISTORY_MS = 20_000
+/** A page of a range has "at most about 500 items or 1 MB". */
+const PAGE_ITEMS = 500
+const PAGE_BYTES = 1_000_000
+
 /** The platform's store: keys, ranges and watches, with the messages of PROTOCOL.md. */
 export class Store {
   items = new Map()
   revision = 1
+  /** Changes up to this revision are no longer in the history. */
+  #forgottenRevision = 0
   /** Changes what happens to a request: 'serve', or 'silent' for an outage. */
   mode = 'serve'
   #history = []
@@ -73,11 +83,17 @@
   #change (change) {
     if (change.removed) this.items.delete(change.key)
     else this.items.set(change.key, change)
-    this.#history.push(change)
+    this.#history.push({ ...change, atMs: nowMs() })
     for (const answer of [...this.#watches]) answer()
     return change.revision
   }
 
+  #forgetOldChanges () {
+    while (this.#history.length > 0 && nowMs() - this.#history[0].atMs > HISTORY_MS) {
+      this.#forgottenRevision = this.#history.shift().revision
+    }
+  }
+
   #encode ({ key, value, revision, removed }) {
     return removed
       ? { key, revision, removed: true }
@@ -93,11 +109,17 @@
     }
     if (pathname === '/ragwortspur/kv-range') {
       const keys = [...this.items.keys()].sort().filter(key => key.startsWith(prefix) && key > (query.get('after') ?? ''))
-      const items = keys.slice(0, 500).map(key => this.#encode(this.items.get(key)))
-      return send(200, { items, more_pages: keys.length > 500, as_of: this.revision })
+      const items = []
+      for (let bytes = 0; items.length < Math.min(PAGE_ITEMS, keys.length); bytes += items.at(-1).value.length) {
+        if (bytes >= PAGE_BYTES) break
+        items.push(this.#encode(this.items.get(keys[items.length])))
+      }
+      return send(200, { items, more_pages: keys.length > items.length, as_of: this.revision })
     }
     if (pathname !== '/ragwortspur/kv-watch') return send(404, {})
     const after = Number(query.get('after'))
+    this.#forgetOldChanges()
+    if (after < this.#forgottenRevision) return send(410, {})
     const events = () => this.#history.filter(change => change.revision > after && change.key.startsWith(prefix))
     let timer = null
     const answer = () => {
@@ -266,6 +288,7 @@
   #folder = mkdtempSync(join(tmpdir(), 'ragwortspur-review-'))
   #isClosing = false
   #bornMs = Date.now() - 60_000
+  #beatTimer = null
   relays = []
   #cutIps = new Set()
 
@@ -300,6 +323,7 @@
       }
       this.putEntry(vm)
     }
+    this.#beatTimer = setInterval(() => { for (const vm of this.vms) this.putEntry(vm) }, BEAT_INTERVAL_MS)
     for (const vm of this.vms) this.startNode(vm)
     await this.waitReady()
   }
@@ -325,12 +349,12 @@
     }))
   }
 
-  /** A backend server writes its entry. */
-  putEntry (vm, state = 'ready') {
+  /** A backend server writes its entry, as it does in each beat. */
+  putEntry (vm) {
     this.store.put(`servers/${vm.serverId}`, JSON.stringify({
       address: `${vm.ip}:${vm.backendPort}`,
       info: { service: vm.service, version: 'v1', zone: vm.zone, slots: vm.slots },
-      status: { state, sequence: vm.sequence++, cold_remaining_ms: 0 },
+      status: { state: 'ready', sequence: vm.sequence++, cold_remaining_ms: 0 },
       born: vm.bornMs
     }))
   }
@@ -375,6 +399,7 @@
 
   async close () {
     this.#isClosing = true
+    clearInterval(this.#beatTimer)
     await Promise.all(this.vms.map(({ node }) => new Promise(resolve => {
       if (node === null || node.exitCode !== null || node.signalCode !== null) return resolve()
       node.once('exit', resolve)
