--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -323,7 +323,7 @@
       }
       this.putEntry(vm)
     }
-    this.#beatTimer = setInterval(() => { for (const vm of this.vms) this.putEntry(vm) }, BEAT_INTERVAL_MS)
+    this.#beatTimer = setInterval(() => { for (const vm of this.vms) if (!vm.isDown) this.putEntry(vm) }, BEAT_INTERVAL_MS)
     for (const vm of this.vms) this.startNode(vm)
     await this.waitReady()
   }
