--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -59,6 +59,9 @@
   record.line(`bookings sent later than ${CONFIG_MS} ms after that: ${later.length}; run by graafik ${count(later, ({ id }) => serviceById.get(id) === 'graafik')}, ` +
     `by tellimus ${stale.length}, not run ${count(later, ({ id }) => !serviceById.has(id))}; the last by tellimus was sent ${Math.round(lastMs)} ms after`)
   for (const { name } of world.vms) record.line(`  sent at ${name}: ${count(later, ({ vm }) => vm === name)}, run by tellimus ${count(stale, ({ vm }) => vm === name)}`)
+  for (const { id, vm, sentMs, status } of [...stale.slice(0, 10), ...stale.slice(-5)]) {
+    record.line(`  ${id} sent at ${vm} ${Math.round(sentMs - confirmedMs)} ms after, run by ${serviceById.get(id)}, answered ${status}`)
+  }
   for (const { name, output } of world.vms) {
     const lines = output.split('\n').filter(line => /event=(store_lost|store_regained)/.test(line))
     record.line(`  ${name}: answers of the store above the limit ${output.split('event=message_limit_exceeded peer=store').length - 1}; ${lines.join('; ') || 'the store was not lost'}`)
