Use only the entries of services that the configuration names

Callers got 503 for each request to a service whose servers share their addresses with entries of another writer.

Cause: the list kept the latest entry at each address, whatever its service, so an entry of a service that no configuration names took the place of a server. The node beside that server took the entry for its own server's and accepted no work. Such entries also counted as nodes in the trees, the order of readers, the coordinators and the retry budget.

Change: the indexes, and all that counts nodes, use only entries of services that the configuration in force names. The others are kept and sent on, and are used as soon as a configuration names their service. An entry without a start time does not replace one with it.

--- a/src/core/discovery/discoveryDb.ts
+++ b/src/core/discovery/discoveryDb.ts
@@ -17,9 +17,12 @@
 /** State of the discovery module: the server list as known at this node, with indexes. */
 export interface DiscoveryDb {
   readonly settings: DiscoverySettings
+  /** All entries in the store, including those of unknown services. */
   readonly servers: Map<string, ListedServer>
+  /** Services that the configuration in force names, or null before the first one. Entries of others name no server. */
+  knownServices: ReadonlySet<string> | null
   byService: Map<string, ListedServer[]>
-  /** Latest incarnation at each `ip:port`. */
+  /** Latest incarnation of a known service at each `ip:port`. */
   byAddress: Map<string, ListedServer>
   /** Era of the store that the revisions are from; -1 before the first read. */
   era: number
@@ -110,6 +113,7 @@
   return {
     settings,
     servers: new Map(),
+    knownServices: null,
     byService: new Map(),
     byAddress: new Map(),
     era: -1,
@@ -128,6 +132,7 @@
 /** Resets the state to that of a node that has not read the list yet. */
 export function clearDiscoveryDb (db: DiscoveryDb): void {
   db.servers.clear()
+  db.knownServices = null
   db.byService = new Map()
   db.byAddress = new Map()
   db.era = -1
@@ -145,22 +150,31 @@
 /**
  * Whether `candidate` describes a later incarnation than `other` at the same address.
  * The entry of a crashed server stays until it expires, even after its successor
- * has started. Start times decide if both entries have one, else revisions.
+ * has started. Start times decide, then revisions. A server always states its start
+ * time, so an entry without one (0) never replaces one that has it.
  */
 function isLaterIncarnation (candidate: ListedServer, other: ListedServer): boolean {
-  if (
-    candidate.startedAtWallMs > 0 && other.startedAtWallMs > 0 && candidate.startedAtWallMs !== other.startedAtWallMs
-  ) {
-    return candidate.startedAtWallMs > other.startedAtWallMs
-  }
+  if (candidate.startedAtWallMs !== other.startedAtWallMs) return candidate.startedAtWallMs > other.startedAtWallMs
   return candidate.revision > other.revision
 }
 
-/** Rebuilds the indexes after a change that affects routing. They contain the latest incarnation at each address. */
+/**
+ * Whether an entry is of a service that the configuration names. Other writers use the same keys, and their entries
+ * must not take the place of a server at the same address.
+ */
+export function isOfKnownService (db: DiscoveryDb, { serviceName }: ListedServer): boolean {
+  return db.knownServices === null || db.knownServices.has(serviceName)
+}
+
+/**
+ * Rebuilds the indexes after a change that affects routing. They contain the latest incarnation of a known service at
+ * each address.
+ */
 export function rebuildIndexes (db: DiscoveryDb): void {
   const byService = new Map<string, ListedServer[]>()
   const byAddress = new Map<string, ListedServer>()
   for (const server of db.servers.values()) {
+    if (!isOfKnownService(db, server)) continue
     const address = `${server.ip}:${server.port}`
     const other = byAddress.get(address)
     if (other === undefined || isLaterIncarnation(server, other)) byAddress.set(address, server)
--- a/src/core/discovery/discoveryDefinition.spec.ts
+++ b/src/core/discovery/discoveryDefinition.spec.ts
@@ -84,6 +84,43 @@
     expect(discovery.serverAt(db, '10.0.0.9', 80)?.serverId).toBe('1')
   })
 
+  test('an entry of a service that no configuration names is used once one does, and not before', () => {
+    const db = discovery.createDb(discovery.defaults)
+    const own = server('1', 3, { ip: '10.0.0.9', startedAtWallMs: 1_000 })
+    const other = server('2', 8, { ip: '10.0.0.9', serviceName: 'monitoring', startedAtWallMs: 2_000 })
+    discovery.setKnownServices(db, new Set(['depot']))
+    applyRead(db, { revision: 7, servers: [own] }, 0)
+    const written = contiguousChanges(8, [{ kind: 'written', server: other }])
+    expect(describeEvents(discovery.applyChanges(db, written, 100))).toEqual(['unknown_written 2'])
+    expect([...discovery.usedServers(db)]).toEqual([own])
+    expect(describeEvents(discovery.setKnownServices(db, new Set(['depot', 'monitoring'])))).toEqual(['left 1', 'joined 2'])
+    expect(discovery.serverAt(db, '10.0.0.9', 80)).toEqual(other)
+  })
+
+  test('an entry that is overwritten with an unknown service is used no more, and again once it is restored', () => {
+    const db = discovery.createDb(discovery.defaults)
+    discovery.setKnownServices(db, new Set(['depot']))
+    applyRead(db, { revision: 5, servers: [server('1', 3)] }, 0)
+    const overwritten = contiguousChanges(6, [{ kind: 'written', server: server('1', 6, { serviceName: 'monitoring' }) }])
+    expect(describeEvents(discovery.applyChanges(db, overwritten, 100))).toEqual(['replaced 1'])
+    expect(discovery.serversOf(db, 'depot')).toEqual([])
+    const restored = contiguousChanges(7, [{ kind: 'written', server: server('1', 7) }])
+    expect(describeEvents(discovery.applyChanges(db, restored, 200))).toEqual(['replaced 1'])
+    expect(discovery.serversOf(db, 'depot')).toHaveLength(1)
+  })
+
+  test('peers learn of entries of unknown services, since their configuration may name them', () => {
+    const db = discovery.createDb(discovery.defaults)
+    discovery.setKnownServices(db, new Set(['depot']))
+    applyRead(db, { revision: 5, servers: [] }, 0)
+    const other = server('2', 8, { serviceName: 'monitoring' })
+    discovery.applyChanges(db, contiguousChanges(8, [{ kind: 'written', server: other }]), 100)
+    expect(discovery.changesAfter(db, 1, 5)).toEqual([{ kind: 'written', server: other }])
+    expect(discovery.currentSnapshot(db).servers).toEqual([other])
+    discovery.applyChanges(db, contiguousChanges(9, [{ kind: 'removed', serverId: '2', revision: 9 }]), 200)
+    expect(discovery.changesAfter(db, 1, 8)).toEqual([{ kind: 'removed', serverId: '2', revision: 9 }])
+  })
+
   test('servers whose entries lapsed during an outage of the store are kept for a grace period, then removed', () => {
     const db = discovery.createDb(discovery.defaults)
     applyRead(db, { revision: 5, servers: [server('1', 3), server('2', 4)] }, 0)
--- a/src/core/discovery/discoveryDefinition.ts
+++ b/src/core/discovery/discoveryDefinition.ts
@@ -1,10 +1,11 @@
 import type { Millis } from '../../clock/clock.js'
 import {
-  beginEra, clearDiscoveryDb, createDiscoveryDb, rebuildIndexes, recordRecentChanges, recordRemoval,
-  restartRecentChanges, revisionOf, type DiscoveryDb, type DiscoverySettings
+  beginEra, clearDiscoveryDb, createDiscoveryDb, isOfKnownService, rebuildIndexes, recordRecentChanges,
+  recordRemoval, restartRecentChanges, revisionOf, type DiscoveryDb, type DiscoverySettings
 } from './discoveryDb.js'
 import {
-  affectsRouting, beginsEra, hasComparableCounts, isFirstReadAfterOutage, isOtherIncarnation, isReportedBefore
+  affectsRouting, beginsEra, hasChanged, hasComparableCounts, isFirstReadAfterOutage, isOtherIncarnation,
+  isReportedBefore
 } from './discoveryDetector.js'
 import {
   ListSource, ServerState, type ListedChange, type ListedServer, type ListEvent, type ListSnapshot
@@ -23,13 +24,19 @@
 const HEARTBEATS_LOST_COUNT = 3
 const HELD_BACK_MARGIN_MS: Millis = 1_500
 
-function toListEvent (before: ListedServer | undefined, after: ListedServer): ListEvent {
+function toListEvent (db: DiscoveryDb, before: ListedServer | undefined, after: ListedServer): ListEvent {
+  const wasUsed = before !== undefined && isOfKnownService(db, before)
+  if (!wasUsed && !isOfKnownService(db, after)) return { kind: 'unknown_written', server: after }
   if (before === undefined) return { kind: 'joined', server: after }
   if (isOtherIncarnation(before, after)) return { kind: 'replaced', server: after }
   if (after.state === ServerState.Draining) return { kind: 'draining', server: after }
   return { kind: 'joined', server: after }
 }
 
+function toRemovalEvent (db: DiscoveryDb, server: ListedServer, revision: number): ListEvent {
+  return { kind: isOfKnownService(db, server) ? 'left' : 'unknown_removed', server, revision }
+}
+
 /** One update of the list: the state, the events so far and when the data left the store. */
 interface ListUpdate {
   readonly db: DiscoveryDb
@@ -90,8 +97,8 @@
   db.lapsedKeptUntilMs.delete(server.serverId)
   db.heldBack.delete(server.serverId)
   db.servers.set(server.serverId, server)
-  if (!affectsRouting(before, server)) return
-  events.push(toListEvent(before, server))
+  if (!hasChanged(before, server)) return
+  events.push(toListEvent(db, before, server))
 }
 
 /** Removes an entry. After an outage it may only have lapsed, so its server is kept for `LAPSE_GRACE_MS`. */
@@ -112,13 +119,13 @@
   db.lapsedKeptUntilMs.delete(serverId)
   db.servers.delete(serverId)
   recordRemoval(db, serverId, revision, before)
-  events.push({ kind: 'left', server: before, revision })
+  events.push(toRemovalEvent(db, before, revision))
 }
 
 function finishUpdate ({ db, events, readAtMs }: ListUpdate, revision: number): ListEvent[] {
   db.revision = Math.max(db.revision, revision)
   db.newestReadAtMs = Math.max(db.newestReadAtMs, readAtMs)
-  if (events.length > 0) rebuildIndexes(db)
+  if (events.some(affectsRouting)) rebuildIndexes(db)
   return events
 }
 
@@ -158,9 +165,14 @@
 
 /** The change of an entry that an event describes. */
 function toListedChange (event: ListEvent): ListedChange {
-  return event.kind === 'left'
-    ? { kind: 'removed', serverId: event.server.serverId, revision: event.revision }
-    : { kind: 'written', server: event.server }
+  switch (event.kind) {
+    case 'left':
+    case 'unknown_removed': return { kind: 'removed', serverId: event.server.serverId, revision: event.revision }
+    case 'joined':
+    case 'draining':
+    case 'replaced':
+    case 'unknown_written': return { kind: 'written', server: event.server }
+  }
 }
 
 /** The changes from after `afterRevision` up to `revision`, from a watch of the store or from a peer that read them. */
@@ -212,7 +224,7 @@
     if (untilMs > db.newestReadAtMs) continue
     db.heldBack.delete(serverId)
     db.servers.set(serverId, server)
-    events.push({ kind: 'joined', server })
+    events.push(toListEvent(db, undefined, server))
   }
   for (const [serverId, keptUntilMs] of db.lapsedKeptUntilMs) {
     if (keptUntilMs > nowMs) continue
@@ -221,19 +233,46 @@
     if (server === undefined) continue
     db.servers.delete(serverId)
     recordRemoval(db, serverId, db.revision, server)
-    events.push({ kind: 'left', server, revision: db.revision })
+    events.push(toRemovalEvent(db, server, db.revision))
   }
-  if (events.length > 0) rebuildIndexes(db)
+  if (events.some(affectsRouting)) rebuildIndexes(db)
   recordRecentChanges(db, events.map(toListedChange))
   return events
 }
 
+/**
+ * Sets the services that the configuration names. Entries of a service that is now named are used at once, those of one
+ * that no longer is are kept, but not used.
+ *
+ * @example
+ * setKnownServices(db, new Set(['depot'])) // [{ kind: 'joined', ... }]
+ */
+function setKnownServices (db: DiscoveryDb, knownServices: ReadonlySet<string>): ListEvent[] {
+  const before = new Set(db.byAddress.values())
+  db.knownServices = knownServices
+  rebuildIndexes(db)
+  const after = new Set(db.byAddress.values())
+  const events: ListEvent[] = []
+  for (const server of before) if (!after.has(server)) events.push({ kind: 'left', server, revision: server.revision })
+  for (const server of after) if (!before.has(server)) events.push({ kind: 'joined', server })
+  return events
+}
+
+/** The latest incarnation of a known service at each address: the servers to use, each with its node. */
+function usedServers (db: DiscoveryDb): Iterable<ListedServer> {
+  return db.byAddress.values()
+}
+
+function usedServersCount (db: DiscoveryDb): number {
+  return db.byAddress.size
+}
+
 /** Servers of a service, including draining ones. */
 function serversOf (db: DiscoveryDb, serviceName: string): readonly ListedServer[] {
   return db.byService.get(serviceName) ?? NO_SERVERS
 }
 
-/** The latest incarnation listed at an address, or undefined. */
+/** The latest incarnation of a known service at an address, or undefined. */
 function serverAt (db: DiscoveryDb, ip: string, port: number): ListedServer | undefined {
   return db.byAddress.get(`${ip}:${port}`)
 }
@@ -257,6 +296,10 @@
   toListedChange,
   changesAfter,
   expireGraces,
+  setKnownServices,
+  affectsRouting,
+  usedServers,
+  usedServersCount,
   serversOf,
   serverAt,
   currentSnapshot
--- a/src/core/discovery/discoveryDetector.ts
+++ b/src/core/discovery/discoveryDetector.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '../../clock/clock.js'
 import type { DiscoveryDb } from './discoveryDb.js'
-import { ListSource, ServerState, type ListedServer } from './discoveryTypes.js'
+import { ListSource, ServerState, type ListedServer, type ListEvent } from './discoveryTypes.js'
 
 /** Without list updates for this long, the store was unavailable or unreachable; normal updates come far more often. */
 const OUTAGE_AFTER_MS: Millis = 2_500
@@ -49,12 +49,24 @@
     before.serviceName !== after.serviceName
 }
 
-/** Whether a change of an entry affects routing; a heartbeat alone does not. */
-export function affectsRouting (before: ListedServer | undefined, after: ListedServer): boolean {
+/** Whether an entry has changed by more than a heartbeat. */
+export function hasChanged (before: ListedServer | undefined, after: ListedServer): boolean {
   return before === undefined || before.state !== after.state || before.slotsCount !== after.slotsCount ||
     isOtherIncarnation(before, after)
 }
 
+/** Whether an event changes which servers are used. */
+export function affectsRouting ({ kind }: ListEvent): boolean {
+  switch (kind) {
+    case 'joined':
+    case 'draining':
+    case 'replaced':
+    case 'left': return true
+    case 'unknown_written':
+    case 'unknown_removed': return false
+  }
+}
+
 export function isReady (server: ListedServer): boolean {
   return server.state === ServerState.Ready
 }
--- a/src/core/discovery/discoveryTypes.ts
+++ b/src/core/discovery/discoveryTypes.ts
@@ -48,9 +48,12 @@
   readonly servers: readonly ListedServer[]
 }
 
-/** A change of the server list that affects routing. */
+/** A change of an entry that is more than a heartbeat. */
 export type ListEvent =
   | { readonly kind: 'joined', readonly server: ListedServer }
   | { readonly kind: 'draining', readonly server: ListedServer }
   | { readonly kind: 'replaced', readonly server: ListedServer }
   | { readonly kind: 'left', readonly server: ListedServer, readonly revision: number }
+  /** An entry of an unknown service. It does not affect routing, but a later configuration may name the service. */
+  | { readonly kind: 'unknown_written', readonly server: ListedServer }
+  | { readonly kind: 'unknown_removed', readonly server: ListedServer, readonly revision: number }
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -103,9 +103,10 @@
       hello: this.#hello,
       memory: this.#memory,
       onLimitExceeded: this.reportLimits(LimitedPeer.Node),
-      onUnresponsive: (ip, isUnresponsive) => this.#forEachServerAt(ip, server => {
-        placementDefinition.setUnresponsive(this.#placement, server, isUnresponsive)
-      }),
+      onUnresponsive: (ip, isUnresponsive) => {
+        const servers = this.#serversAt(ip)
+        for (const server of servers) placementDefinition.setUnresponsive(this.#placement, server, isUnresponsive)
+      },
       onNotice: (text, fromIp) => this.#publishedState.receiveNotice(text, fromIp, 1),
       onSpreadCopy: (copy, fromIp) => this.#spreadTask.receive(copy, fromIp),
       onConnected: (ip, isNewProcess) => this.#onPeerConnected(ip, isNewProcess)
@@ -116,7 +117,7 @@
       own: { ip: settings.ip, dataCentre: settings.dataCentre },
       quota: settings.quota,
       metrics: this.#metrics,
-      members: () => this.#discovery.servers.values(),
+      members: () => discoveryDefinition.usedServers(this.#discovery),
       isUsable: ip => this.#peerMesh.isUsable(ip),
       sendTo: (ip, text) => {
         if (!this.#peerServer.sendNotice(ip, text)) this.#peerMesh.connectAndSendNotice(ip, text)
@@ -286,9 +287,9 @@
     return !this.#stop.isStopping && this.#configuration.current !== null && this.#discovery.newestReadAtMs > -Infinity
   }
 
-  /** Number of backend servers in this node's copy of the server list. */
+  /** Number of backend servers that this node uses. */
   get serversCount (): number {
-    return this.#discovery.servers.size
+    return discoveryDefinition.usedServersCount(this.#discovery)
   }
 
   /** Version of the configuration in force, or 0. */
@@ -341,22 +342,20 @@
 
   #isMarkedLeaving (ip: string): boolean {
     const nowMs = this.#options.clock.monotonicMs()
-    return [...this.#discovery.servers.values()].some(server => {
-      return server.ip === ip && placementDefinition.isMarkedLeaving(this.#placement, server, nowMs)
-    })
+    return this.#serversAt(ip).some(server => placementDefinition.isMarkedLeaving(this.#placement, server, nowMs))
   }
 
   #markLeaving (ip: string): void {
     const nowMs = this.#options.clock.monotonicMs()
-    this.#forEachServerAt(ip, server => placementDefinition.markLeaving(this.#placement, server, nowMs))
+    for (const server of this.#serversAt(ip)) placementDefinition.markLeaving(this.#placement, server, nowMs)
   }
 
   #clearLeaving (ip: string): void {
-    this.#forEachServerAt(ip, server => placementDefinition.clearLeaving(this.#placement, server))
+    for (const server of this.#serversAt(ip)) placementDefinition.clearLeaving(this.#placement, server)
   }
 
-  #forEachServerAt (ip: string, apply: (server: ListedServer) => void): void {
-    for (const server of this.#discovery.servers.values()) if (server.ip === ip) apply(server)
+  #serversAt (ip: string): ListedServer[] {
+    return [...discoveryDefinition.usedServers(this.#discovery)].filter(server => server.ip === ip)
   }
 
   #applyListEvents (events: readonly ListEvent[]): void {
@@ -375,9 +374,9 @@
       if (kind !== 'left' && server.warmingMs > 0) placementDefinition.markWarmingUp(this.#placement, server, nowMs)
     }
     this.#syncOwnServer(nowMs)
-    fleetRetryBudgetDefinition.setNodesCount(this.#fleetRetryBudget, this.#discovery.servers.size)
+    fleetRetryBudgetDefinition.setNodesCount(this.#fleetRetryBudget, this.serversCount)
     this.#allotmentTask.markMembersStale()
-    this.#spreadTask.syncMembers(this.#discovery.servers.values())
+    this.#spreadTask.syncMembers(discoveryDefinition.usedServers(this.#discovery))
   }
 
   /** Applies the list entry of this node's backend server. Without an entry it gets no calls. */
--- a/src/mesh/nodeGauges.ts
+++ b/src/mesh/nodeGauges.ts
@@ -3,6 +3,7 @@
 import { chainAdmissionDefinition } from '../core/chainAdmission/chainAdmissionDefinition.js'
 import type { ConfigurationDb } from '../core/configuration/configurationDb.js'
 import type { DiscoveryDb } from '../core/discovery/discoveryDb.js'
+import { discoveryDefinition } from '../core/discovery/discoveryDefinition.js'
 import type { MemoryAccountDb } from '../core/memoryAccount/memoryAccountDb.js'
 import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
 import { MemoryShare } from '../core/memoryAccount/memoryAccountTypes.js'
@@ -41,7 +42,7 @@
     list_era: () => discovery.era,
     list_revision: () => discovery.revision,
     list_age_ms: () => Math.round(clock.monotonicMs() - discovery.newestReadAtMs),
-    servers_listed: () => discovery.servers.size,
+    servers_listed: () => discoveryDefinition.usedServersCount(discovery),
     peer_links: sources.openLinksCount,
     requests_open: sources.openRequestsCount,
     caller_connections: sources.callerConnectionsCount,
--- a/src/mesh/publishedStateTask.ts
+++ b/src/mesh/publishedStateTask.ts
@@ -61,7 +61,9 @@
       store,
       newestReadAtMs: () => discovery.newestReadAtMs,
       readAfterMs: () => this.#readAfterMs,
-      watchWaitMs: () => watchWaitMs(clock.monotonicMs() - discovery.newestReadAtMs, discovery.servers.size),
+      watchWaitMs: () => watchWaitMs(
+        clock.monotonicMs() - discovery.newestReadAtMs, discoveryDefinition.usedServersCount(discovery)
+      ),
       revision: () => discovery.revision,
       era: () => discovery.era,
       proof,
@@ -121,12 +123,17 @@
     if (events.length > 0) this.#broadcastUpdate(false, events, discovery.revision, discovery.newestReadAtMs)
   }
 
-  /** Recomputes the list age at which this node reads the store, and reports the changes, if there are any. */
+  /**
+   * Recomputes the list age at which this node reads the store, and reports the changes that affect routing, if there
+   * are any.
+   */
   #onListUpdated (events: readonly ListEvent[]): void {
     this.#peerSync.answerWaitingPeers()
-    if (events.length === 0) return
-    this.#readAfterMs = readAfterMs(this.#options.ownLocation, this.#options.discovery.servers.values())
-    this.#options.onListEvents(events)
+    const usedEvents = events.filter(discoveryDefinition.affectsRouting)
+    if (usedEvents.length === 0) return
+    const { discovery, ownLocation } = this.#options
+    this.#readAfterMs = readAfterMs(ownLocation, discoveryDefinition.usedServers(discovery))
+    this.#options.onListEvents(usedEvents)
   }
 
   #applyState (state: PublishedState, readAtMs: Millis): void {
@@ -180,6 +187,8 @@
     if (result.kind === 'not_newer') return false
     this.#configurationText = text
     this.#options.onConfiguration(configuration)
+    const { discovery } = this.#options
+    this.#onListUpdated(discoveryDefinition.setKnownServices(discovery, new Set(configuration.services.keys())))
     this.#options.proof?.recordVersion()
     log.event('configuration_in_force', {
       version: result.version,
