Read everything anew when an answer of the store cannot be read completely

Bookings were run by a service that a configuration had taken them from, up to 19.6 s after its confirmation, after another writer had left 16 entries of 1 MB.

Cause: the answer of a watch has all changes since a revision and has no limit; above 8 MiB it was given up as if the store were unavailable, and the changes since the same revision were asked for again, with the same result until the store had forgotten them. A time limit from the request on had the same effect on a slow answer.

Change: an answer that is too long, stalls or breaks off is incomplete, and everything is read anew at once. Of a read with several pages the configuration comes into force first, and only server entries are read after that. Time limits count from the last part that arrived. Log lines about refused values are bounded.

--- a/src/http/exchangeConnection.ts
+++ b/src/http/exchangeConnection.ts
@@ -239,6 +239,7 @@
     } else if (this.#body.lengthBytes + chunk.length > answerMaxBytes) this.failByLimit(MessageLimit.Body)
     else {
       this.#body.append(chunk)
+      this.#request.onProgress?.()
       this.#pool.options.memory.onArrival(chunk.length)
       this.#countBytes()
       const { lengthBytes } = this.#body
--- a/src/http/exchangeTypes.ts
+++ b/src/http/exchangeTypes.ts
@@ -44,6 +44,8 @@
   /** Whether an answer belongs to this request. One to another request is skipped, and the next one is awaited. */
   readonly matchAnswer: (head: MessageHead) => AnswerMatch
   readonly onResult: (result: ExchangeResult) => void
+  /** Called for each part of the answer's body that arrives. */
+  readonly onProgress?: () => void
 }
 
 export interface ExchangePoolOptions {
--- a/src/mesh/platformStore.ts
+++ b/src/mesh/platformStore.ts
@@ -11,6 +11,8 @@
   RateLimited = 'turned_away',
   /** The store no longer has the requested changes, so everything has to be read again. */
   HistoryGone = 'history_gone',
+  /** The answer was too long or broke off, so the same read may fail in the same way again. */
+  Incomplete = 'incomplete',
   /** The answer does not conform to the store's interface. */
   Malformed = 'malformed'
 }
@@ -29,6 +31,13 @@
   readonly reason: string
 }
 
+/** A configuration as read from the store. */
+export interface PublishedConfiguration {
+  readonly configuration: Configuration
+  /** The configuration as stored, to be sent to other nodes. */
+  readonly text: string
+}
+
 /** All server entries and the configuration as of one revision. */
 export interface PublishedState {
   /** Counts how often the store has come back from a copy of its data; 0 if it does not say. */
@@ -56,10 +65,16 @@
 export interface PlatformStore {
   /**
    * Reads everything. A read that `mayBeStale` is charged much less, but its result may be some seconds old; it is
-   * complete as of its revision.
+   * complete as of its revision. `timeoutMs` is the longest time without a part of an answer. If there is much to
+   * read, `onConfiguration` is called before the servers have been read, since a configuration has to be in force soon.
+   */
+  readAll (
+    timeoutMs: Millis, mayBeStale: boolean, onConfiguration: (published: PublishedConfiguration) => void
+  ): Promise<Either<StoreFailure, PublishedState>>
+  /**
+   * Reads the changes after a revision; the store waits up to `waitMs` for the first one (long poll). `timeoutMs` is
+   * the longest time without a part of the answer.
    */
-  readAll (timeoutMs: Millis, mayBeStale: boolean): Promise<Either<StoreFailure, PublishedState>>
-  /** Reads the changes after a revision; the store waits up to `waitMs` for the first one (long poll). */
   readChanges (
     afterRevision: number, waitMs: Millis, timeoutMs: Millis
   ): Promise<Either<StoreFailure, PublishedChanges>>
--- a/src/mesh/publishedStateTask.ts
+++ b/src/mesh/publishedStateTask.ts
@@ -13,12 +13,16 @@
 import type { QuarantineHint } from './crashGuard.js'
 import type { NodeLog } from './nodeLog.js'
 import type { AllotmentNotice } from './notices.js'
-import type { PlatformStore, PublishedChanges, PublishedState, RefusedValue } from './platformStore.js'
+import type {
+  PlatformStore, PublishedChanges, PublishedConfiguration, PublishedState, RefusedValue
+} from './platformStore.js'
 import { PeerSyncTask } from './peerSyncTask.js'
 import { StoreTask } from './storeTask.js'
 
 /** Limit on the refused values that are remembered so that each is logged only once. */
 const REFUSED_VALUES_MAX_COUNT = 1_000
+/** Lines about refused values of one read; others are counted, since a writer can leave thousands. */
+const REFUSED_LINES_MAX_COUNT = 20
 
 export interface PublishedStateTaskOptions {
   readonly clock: Clock
@@ -46,7 +50,8 @@
   readonly #options: PublishedStateTaskOptions
   readonly #storeTask: StoreTask
   readonly #peerSync: PeerSyncTask
-  readonly #refusedRevisions = new Map<string, number>()
+  /** Reasons by key. An entry that is written again and again is logged once. */
+  readonly #refusedReasons = new Map<string, string>()
   #configurationText = ''
   #readAfterMs: Millis
 
@@ -67,6 +72,7 @@
       revision: () => discovery.revision,
       era: () => discovery.era,
       proof,
+      onConfiguration: published => this.#applyEarlyConfiguration(published),
       onState: (state, readAtMs) => this.#applyState(state, readAtMs),
       onChanges: (changes, readAtMs) => this.#applyChanges(changes, readAtMs)
     })
@@ -136,6 +142,11 @@
     this.#options.onListEvents(usedEvents)
   }
 
+  /** Applies a configuration whose servers are still being read, and passes it on. */
+  #applyEarlyConfiguration ({ configuration, text }: PublishedConfiguration): void {
+    if (this.#applyConfiguration(configuration, text, 'store')) this.#peerSync.broadcastConfiguration()
+  }
+
   #applyState (state: PublishedState, readAtMs: Millis): void {
     const { discovery } = this.#options
     this.#logRefused(state.refused)
@@ -214,20 +225,24 @@
     }
     if (discovery.era !== snapshot.era || discovery.revision > snapshot.revision) log.event('list_copy_ignored', fields)
     else if (before.era !== snapshot.era) {
-      this.#refusedRevisions.clear()
+      this.#refusedReasons.clear()
       log.event('store_era', { ...fields, held_back: discovery.heldBack.size, lapsed: discovery.lapsedKeptUntilMs.size })
     }
     return events
   }
 
   #logRefused (refused: readonly RefusedValue[]): void {
+    let linesCount = 0
     for (const { key, revision, reason } of refused) {
-      if (this.#refusedRevisions.get(key) === revision) continue
-      this.#refusedRevisions.set(key, revision)
-      if (this.#refusedRevisions.size > REFUSED_VALUES_MAX_COUNT) {
-        this.#refusedRevisions.delete(this.#refusedRevisions.keys().next().value!)
+      if (this.#refusedReasons.get(key) === reason) continue
+      this.#refusedReasons.set(key, reason)
+      if (this.#refusedReasons.size > REFUSED_VALUES_MAX_COUNT) {
+        this.#refusedReasons.delete(this.#refusedReasons.keys().next().value!)
       }
-      this.#options.log.event('published_value_refused', { key, revision, reason })
+      linesCount += 1
+      if (linesCount <= REFUSED_LINES_MAX_COUNT) this.#options.log.event('published_value_refused', { key, revision, reason })
     }
+    if (linesCount <= REFUSED_LINES_MAX_COUNT) return
+    this.#options.log.event('published_values_omitted', { count: linesCount - REFUSED_LINES_MAX_COUNT })
   }
 }
--- a/src/mesh/storeTask.spec.ts
+++ b/src/mesh/storeTask.spec.ts
@@ -44,6 +44,7 @@
     revision: () => log.length === 0 ? -1 : 5,
     era: () => 1,
     proof: null,
+    onConfiguration: () => {},
     onState: () => {},
     onChanges: () => {}
   })
@@ -56,9 +57,13 @@
 }
 
 describe('reads of the store', () => {
-  test('a full read follows at once when the store no longer has the requested changes', async () => {
-    // The missed changes may include a drain or a configuration that has to take effect soon.
-    const { log, task } = startTask(() => StoreFailureKind.HistoryGone, () => -Infinity)
+  // The missed changes may include a drain or a configuration that has to take effect soon.
+  test.each([
+    ['the store no longer has the requested changes', StoreFailureKind.HistoryGone],
+    // The same changes were asked for again, with the same failure, until the store had forgotten them.
+    ['the answer with the requested changes is too long or breaks off', StoreFailureKind.Incomplete]
+  ])('a full read follows at once when %s', async (_name, kind) => {
+    const { log, task } = startTask(() => kind, () => -Infinity)
     await delay(900)
     task.stop()
     const [, first, second] = log
@@ -96,6 +101,7 @@
       revision: () => revision,
       era: () => 1,
       proof: null,
+      onConfiguration: () => {},
       onState: (state, readAtMs) => {
         revision = state.revision
         freshAtMs = Math.max(freshAtMs, readAtMs)
--- a/src/mesh/storeTask.ts
+++ b/src/mesh/storeTask.ts
@@ -3,7 +3,8 @@
 import type { ConfirmedRead, StorePosition } from '../core/configurationProof/configurationProofTypes.js'
 import { READ_PERIOD_MS } from '../core/discovery/readSchedule.js'
 import {
-  StoreFailureKind, type PlatformStore, type PublishedChanges, type PublishedState, type StoreFailure
+  StoreFailureKind, type PlatformStore, type PublishedChanges, type PublishedConfiguration, type PublishedState,
+  type StoreFailure
 } from './platformStore.js'
 import type { NodeLog } from './nodeLog.js'
 
@@ -44,11 +45,24 @@
   readonly era: () => number
   /** Null if reads need not prove the age of the configuration. */
   readonly proof: StoreReadProof | null
+  /** Called during a long read of everything. */
+  readonly onConfiguration: (published: PublishedConfiguration) => void
   /** `readAtMs` is negative infinity for a read that may be stale. */
   readonly onState: (state: PublishedState, readAtMs: Millis) => void
   readonly onChanges: (changes: PublishedChanges, readAtMs: Millis) => void
 }
 
+/** Whether asking for the same changes again could fail in the same way, so that everything has to be read. */
+function needsFullReadAfter ({ kind }: StoreFailure): boolean {
+  switch (kind) {
+    case StoreFailureKind.HistoryGone:
+    case StoreFailureKind.Incomplete:
+    case StoreFailureKind.Malformed: return true
+    case StoreFailureKind.Unavailable:
+    case StoreFailureKind.RateLimited: return false
+  }
+}
+
 /** Reads the platform's store whenever the list becomes older than this node's limit. */
 export class StoreTask {
   readonly #options: StoreTaskOptions
@@ -86,9 +100,9 @@
       const failure = this.#needsFullRead ? await this.#readAll() : await this.#readChanges()
       if (failure === null) this.#onReadSucceeded()
       else {
-        this.#onReadFailed(failure)
+        const retryDelayMs = this.#onReadFailed(failure)
         this.#options.proof?.recordReadFailed()
-        await this.#delay(this.#retryDelayMs(failure))
+        await this.#delay(retryDelayMs)
         // Otherwise the read period would be added to the retry delay.
         this.#lastReadAtMs = -Infinity
       }
@@ -119,11 +133,11 @@
 
   /** Reads everything. The first read may be stale: all nodes of a fleet may start at once, and reads are charged. */
   async #readAll (): Promise<StoreFailure | null> {
-    const { clock, onState, proof, revision, store } = this.#options
+    const { clock, onConfiguration, onState, proof, revision, store } = this.#options
     const startedAtMs = clock.monotonicMs()
     const sentAtMs = proof?.nowMs() ?? 0
     const mayBeStale = revision() < 0
-    const result = await store.readAll(READ_TIMEOUT_MS, mayBeStale)
+    const result = await store.readAll(READ_TIMEOUT_MS, mayBeStale, onConfiguration)
     return result.caseOf<StoreFailure | null>({
       Left: failure => failure,
       Right: state => {
@@ -159,13 +173,17 @@
     })
   }
 
-  #onReadFailed (failure: StoreFailure): void {
+  /** Records a failed read; returns the delay until the next one. */
+  #onReadFailed (failure: StoreFailure): Millis {
     this.#failuresCount += 1
-    // After a lost answer the next read asks for the changes after the same revision again.
-    this.#needsFullRead ||= failure.kind === StoreFailureKind.HistoryGone || failure.kind === StoreFailureKind.Malformed
-    if (this.#isStoreLost) return
-    this.#isStoreLost = true
-    this.#options.log.event('store_lost', { kind: failure.kind, detail: failure.detail })
+    const wasFullRead = this.#needsFullRead
+    // Other failures say nothing of the changes that were asked for, so the same ones are asked for again.
+    this.#needsFullRead ||= needsFullReadAfter(failure)
+    if (!this.#isStoreLost) {
+      this.#isStoreLost = true
+      this.#options.log.event('store_lost', { kind: failure.kind, detail: failure.detail })
+    }
+    return this.#retryDelayMs(failure, wasFullRead)
   }
 
   #onReadSucceeded (): void {
@@ -174,8 +192,9 @@
     this.#failuresCount = 0
   }
 
-  #retryDelayMs (failure: StoreFailure): Millis {
-    if (failure.kind === StoreFailureKind.HistoryGone) return 0
+  #retryDelayMs ({ kind }: StoreFailure, wasFullRead: boolean): Millis {
+    const canReadAnew = kind === StoreFailureKind.HistoryGone || (kind === StoreFailureKind.Incomplete && !wasFullRead)
+    if (canReadAnew) return 0
     const delayMs = Math.min(RETRY_DELAY_MAX_MS, RETRY_DELAY_FIRST_MS * 2 ** (this.#failuresCount - 1))
     return delayMs * (0.5 + this.#options.random())
   }
