Refuse answers with a status that HTTP does not define

A server that answered with 000, 099, 150 or 1000 made callers wait for their time limit, and 600 to 999 and 2000 (as 200) reached them as answers.

Cause: the parser's library takes the first three digits of a status, whatever follows; below 200, the code above it skipped every answer as an interim one, and forwarded all others.

Change: a status line has three digits from 100 to 599. A final answer below 200 is malformed too: with a length, in chunks, or a change of protocol. Such an answer breaks its exchange at once. An answer with such a status from another node has an unknown outcome. ragwortspur-node ends the call with answer_malformed.

--- a/src/core/coreTypes.ts
+++ b/src/core/coreTypes.ts
@@ -55,6 +55,8 @@
   AnswerTimeout = 'answer_timeout',
   AnswerTruncated = 'answer_truncated',
   AnswerCrossed = 'answer_crossed',
+  /** The answer has a status that HTTP does not define. */
+  AnswerMalformed = 'answer_malformed',
   Quarantined = 'quarantined',
   NotOwner = 'not_owner',
   LeaseNotHeld = 'lease_not_held',
--- a/src/core/nodeCore/callResults.ts
+++ b/src/core/nodeCore/callResults.ts
@@ -197,7 +197,8 @@
     case Reason.AnswerTimeout: return PeerResult.TimedOut
     case Reason.ConnectionLost:
     case Reason.AnswerTruncated:
-    case Reason.AnswerCrossed: return PeerResult.ConnectionLost
+    case Reason.AnswerCrossed:
+    case Reason.AnswerMalformed: return PeerResult.ConnectionLost
     default: return PeerResult.Answered
   }
 }
--- a/src/core/nodeCore/statusCodes.ts
+++ b/src/core/nodeCore/statusCodes.ts
@@ -46,6 +46,7 @@
     case Reason.ConnectionLost:
     case Reason.AnswerTruncated:
     case Reason.AnswerCrossed:
+    case Reason.AnswerMalformed:
     case Reason.CallerCancelled:
       return 502
     case Reason.StillRunning:
--- a/src/http/exchangePool.spec.ts
+++ b/src/http/exchangePool.spec.ts
@@ -255,6 +255,32 @@
   })
 })
 
+describe('answers with a status that is none', () => {
+  const withStatus = (status: string): string => `HTTP/1.1 ${status} Odd\r\nid: a\r\nContent-Length: 2\r\n\r\nok`
+
+  // Some were skipped like interim answers, so that callers waited for their time limit, and others were forwarded.
+  test.each(['000', '099', '100', '101', '150', '600', '999', '1000', '2000', '20', '2x0', '-200', ''])(
+    'are broken at once with %j, also after an interim answer', async status => {
+      const interim = 'HTTP/1.1 103 Early Hints\r\n\r\n'
+      await startPool((socket, request) => {
+        socket.write(`${request.startsWith('GET /later') ? interim : ''}${withStatus(status)}`)
+      })
+      for (const id of ['a', 'later']) {
+        expect(await fixture.send(id)).toMatchObject({ kind: 'broken', cause: BrokenCause.Malformed })
+      }
+    })
+
+  test.each(['200', '299', '599'])('are those outside of 200 to 599, so %s is answered', async status => {
+    await startPool(socket => socket.write(withStatus(status)))
+    expect(await fixture.send('a')).toMatchObject({ kind: 'answered', head: { statusCode: Number(status) } })
+  })
+
+  test('interim answers and an empty reason are accepted', async () => {
+    await startPool(socket => socket.write('HTTP/1.1 100\r\n\r\nHTTP/1.1 103 Early Hints\r\na: b\r\n\r\nHTTP/1.1 204\r\nid: a\r\n\r\n'))
+    expect(await fixture.send('a')).toMatchObject({ kind: 'answered', head: { statusCode: 204 } })
+  })
+})
+
 describe('answers whose server closes in the middle of the head', () => {
   const WHOLE = `${HEAD}Server: x\r\nContent-Length: 2\r\n\r\n`
 
--- a/src/http/messageParser.ts
+++ b/src/http/messageParser.ts
@@ -14,6 +14,10 @@
 
 const EMPTY_BYTES = Buffer.alloc(0)
 const DIGITS = /^\d{1,15}$/
+/** Status codes have three digits and five classes (RFC 9110, section 15). */
+const STATUS_LINE = /^HTTP\/(\d)\.(\d) ([1-5]\d\d)(?: (.*))?$/
+/** Switches the protocol, which no request asks for. */
+const SWITCHING_PROTOCOLS = 101
 const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,12})[ \t]*(;.*)?$/
 /** Longest line with the size of a chunk; extensions are rare and short. */
 const CHUNK_SIZE_LINE_MAX_BYTES = 4_096
@@ -82,7 +86,7 @@
   parseHeader (line: string, headers: string[]): void
   body_bytes: number | null
   isChunked: boolean
-  info: { headers: string[] }
+  info: { headers: string[], versionMajor: number, versionMinor: number, statusCode: number, statusMessage: string }
   state: string
   /** Start of a line that is not complete yet. */
   line: string
@@ -122,6 +126,27 @@
   this.state = this.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK'
 }
 
+/** Replaces the library's method, which accepts any three digits, also as the start of a longer number. */
+function parseStatusLine (this: ParserInternals): void {
+  const line = this.consumeLine()
+  if (line === undefined || line === '') return
+  const match = STATUS_LINE.exec(line)
+  if (match === null) throw parseError('malformed status line')
+  const statusCode = Number(match[3])
+  Object.assign(this.info, {
+    versionMajor: Number(match[1]), versionMinor: Number(match[2]), statusCode, statusMessage: match[4] ?? ''
+  })
+  if (statusCode < 200 || statusCode === 204 || statusCode === 304) this.body_bytes = 0
+  this.state = 'HEADER'
+}
+
+/** Whether a head with a status below 200 is no interim answer: it has a body, or the final answer never follows. */
+function isInvalidInterim (statusCode: number, headers: readonly string[]): boolean {
+  if (statusCode >= 200) return false
+  return statusCode === SWITCHING_PROTOCOLS || headerValue(headers, 'content-length') !== undefined ||
+    headerValue(headers, 'transfer-encoding') !== undefined
+}
+
 /** Replaces the library's method, which skips header lines without a name and joins folded lines. */
 function parseHeader (this: ParserInternals, line: string, headers: string[]): void {
   const colonAt = line.indexOf(':')
@@ -157,6 +182,7 @@
     this.#headMaxBytes = headMaxBytes
     const parser = new HTTPParser(kind) as unknown as ParserInternals & Record<string | number, unknown>
     parser['BODY_CHUNKHEAD'] = parseChunkSizeLine
+    parser['RESPONSE_LINE'] = parseStatusLine
     parser.parseHeader = parseHeader
     parser.consumeLine = () => this.#consumeLine()
     parser[ON_HEADERS_COMPLETE] = (info: {
@@ -170,6 +196,9 @@
     }) => {
       const reason = findFramingError(info.headers)
       if (reason !== '') throw parseError(reason)
+      if (kind === 'RESPONSE' && isInvalidInterim(info.statusCode, info.headers)) {
+        throw parseError('status below 200 in a final answer')
+      }
       // No upgrade is ever accepted. The library would drop the chunked coding and leave the body to the caller.
       if (info.upgrade) {
         info.upgrade = false
--- a/src/mesh/frames.spec.ts
+++ b/src/mesh/frames.spec.ts
@@ -1,7 +1,7 @@
 import { pack, unpack } from 'msgpackr'
 import { encodeBodyPartHead } from './bodyPartHead.js'
 import { encodeFrame, FrameKind, FrameReader } from './frames.js'
-import { RefusalReason, type ResultReport } from './meshTypes.js'
+import { RefusalReason, UnknownOutcomeReason, type ResultReport } from './meshTypes.js'
 
 const REPORT: ResultReport = {
   load: { runningCount: 3, queuedCount: 0, limitCount: 28, acceptsWork: true, paceRatio: null },
@@ -47,6 +47,21 @@
   expect(entry!.refusedRatio ?? 0).toBeLessThanOrEqual(1)
 })
 
+// A node of an older build forwards what the parser refuses now.
+test.each([0, 99, 101, 600, 1_000, Number.NaN])('an answer with status %d from another node has an unknown outcome', statusCode => {
+  const result = {
+    kind: 'answered', statusCode, statusText: '', headerText: '', body: Buffer.alloc(0), hasLength: true, servedMs: 1
+  } as const
+  const answers = [
+    encodeFrame({ kind: FrameKind.Answered, number: 7, result, report: REPORT }),
+    encodeFrame({ kind: FrameKind.LongAnswer, number: 8, result, report: REPORT, bodyBytes: 70_000 })
+  ]
+  const unknown = { kind: 'unknown', reason: UnknownOutcomeReason.MalformedAnswer }
+  expect(new FrameReader().read(Buffer.concat(answers))).toMatchObject([7, 8].map(number => (
+    { kind: FrameKind.UnknownOutcome, number, result: unknown, report: REPORT }
+  )))
+})
+
 test.each([[0], [7], [0xFFFF_FFFF], [0x1_0000_0000], [Number.MAX_SAFE_INTEGER]])(
   'a part of the body of call %d is the same frame as if it had been packed whole', number => {
     const bytes = Buffer.alloc(70_000, 'part')
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -6,7 +6,7 @@
 import { plausiblePaceRatio } from '../core/placement/placementDetector.js'
 import type { ServerSignals } from '../core/placement/placementTypes.js'
 import type { SpreadId, TreeNumber } from '../core/spread/spreadTypes.js'
-import type { UnknownOutcomeReason, DispatchedCall, DispatchResult, RefusalReason, ResultReport } from './meshTypes.js'
+import { UnknownOutcomeReason, type DispatchedCall, type DispatchResult, type RefusalReason, type ResultReport } from './meshTypes.js'
 
 /** Kinds of messages between nodes. The numbers are part of the wire format. */
 export enum FrameKind {
@@ -282,12 +282,21 @@
   }
 }
 
+function isFinalStatus (statusCode: unknown): boolean {
+  return Number.isInteger(statusCode) && (statusCode as number) >= 200 && (statusCode as number) <= 599
+}
+
 function decodeAnswer (fields: readonly unknown[]): AnsweredResult {
   const [, , , statusCode, statusText, headerText, body, servedMs, hasLengthFlag] =
     fields as [unknown, unknown, unknown, number, string, string, Buffer, number, number]
   return { kind: 'answered', statusCode, statusText, headerText, body, servedMs, hasLength: hasLengthFlag === 1 }
 }
 
+function createMalformed (number: number, report: unknown): Frame {
+  const result = { kind: 'unknown', reason: UnknownOutcomeReason.MalformedAnswer } as const
+  return { kind: FrameKind.UnknownOutcome, number, report: decodeReport(report), result }
+}
+
 function decodeLength (field: unknown): number {
   if (!Number.isSafeInteger(field) || (field as number) < 0) throw new RangeError(`body of ${String(field)} bytes`)
   return field as number
@@ -302,8 +311,12 @@
       return { kind, hello: { incarnation, ip, dataCentre, serviceName, acceptsParts: acceptsPartsFlag === 1 } }
     }
     case FrameKind.Call: return { kind, number: fields[1] as number, call: decodeCall(fields) }
-    case FrameKind.Answered:
-      return { kind, number: fields[1] as number, report: decodeReport(fields[2]), result: decodeAnswer(fields) }
+    case FrameKind.Answered: {
+      const [, number, report, statusCode] = fields as [unknown, number, unknown, unknown]
+      if (isFinalStatus(statusCode)) return { kind, number, report: decodeReport(report), result: decodeAnswer(fields) }
+      // A peer of an older build forwards any status of its server.
+      return createMalformed(number, report)
+    }
     case FrameKind.LongCall: {
       const callFields = fields[2] as unknown[]
       return {
@@ -312,6 +325,7 @@
     }
     case FrameKind.LongAnswer: {
       const answerFields = fields[2] as unknown[]
+      if (!isFinalStatus(answerFields[3])) return createMalformed(answerFields[1] as number, answerFields[2])
       return {
         kind,
         bodyBytes: decodeLength(fields[1]),
--- a/src/node/faultyAnswers.spec.ts
+++ b/src/node/faultyAnswers.spec.ts
@@ -42,6 +42,21 @@
   })
 })
 
+// 000 and 099 were skipped like interim answers, and callers waited for their time limit.
+describe('an answer with a status that is none fails at once', () => {
+  test.each(['000', '099', '100', '101', '150', '600', '999', '1000', '2000', '20', '2x0'])('%s', async status => {
+    await startPool(socket => socket.write(`HTTP/1.1 ${status} Odd\r\nragwortspur-call: c1\r\ncontent-length: 2\r\n\r\nok`))
+    const result = await pool.send(requestOf('c1'))
+    expect(result).toMatchObject({ kind: 'failed', bytesSent: true })
+    expect(result.kind === 'failed' && result.reason).not.toBe(Reason.AnswerTimeout)
+  })
+
+  test('but one after an interim answer is answered', async () => {
+    await startPool(socket => socket.write(`HTTP/1.1 103 Early Hints\r\n\r\n${SHED}ragwortspur-call: c1\r\n\r\n`))
+    expect(await pool.send(requestOf('c1'))).toMatchObject({ kind: 'answered', status: 503 })
+  })
+})
+
 // Elsewhere, callers got 200 with an empty or short body, framed as whole.
 describe('an answer whose server closes in the middle of the head is no answer', () => {
   const WHOLE = 'HTTP/1.1 200 OK\r\nserver: x\r\ncontent-length: 2\r\n\r\n'
--- a/src/node/poolCall.ts
+++ b/src/node/poolCall.ts
@@ -7,6 +7,8 @@
 import type { PoolAnswer, PoolBounds, PoolFailureReason, PoolRequest } from './poolTypes.js'
 
 const CALL_HEADER = 'ragwortspur-call'
+const FINAL_STATUS_MIN = 200
+const STATUS_MAX = 599
 /**
  * Pieces of a body that are read in one turn of the event loop, so that very many small ones do not hold up others.
  * undici copies all unread bytes at each pause, so pauses have to be rare.
@@ -64,10 +66,11 @@
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-    if (this.hasEnded || status < 200) return
+    if (this.hasEnded || isInterim(status, headers)) return
     this.#status = status
     this.#headers = headers
-    if (this.#isCrossed(headers[CALL_HEADER])) this.#fail(Reason.AnswerCrossed)
+    if (status < FINAL_STATUS_MIN || status > STATUS_MAX) this.#fail(Reason.AnswerMalformed)
+    else if (this.#isCrossed(headers[CALL_HEADER])) this.#fail(Reason.AnswerCrossed)
     else if (!this.#isSelfDelimited()) this.#fail(Reason.AnswerTruncated)
     else if (Number(headers['content-length'] ?? 0) > this.#answerMaxBytes && this.request.method !== 'HEAD') {
       this.#fail(Reason.BodyTooLarge)
@@ -124,6 +127,12 @@
   }
 }
 
+/** Whether a head is followed by that of the final answer. An interim answer has no body. */
+function isInterim (status: number, headers: IncomingHttpHeaders): boolean {
+  return status >= 100 && status < FINAL_STATUS_MIN && headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+}
+
 function flattenHeaders (
   received: IncomingHttpHeaders
 ): { headers: Record<string, string>, setCookies: readonly string[] } {
--- a/src/node/poolTypes.ts
+++ b/src/node/poolTypes.ts
@@ -36,7 +36,7 @@
 /** Why a request got no complete answer. */
 export type PoolFailureReason =
   | Reason.ConnectFailed | Reason.ConnectionLost | Reason.AnswerTimeout | Reason.AnswerTruncated
-  | Reason.AnswerCrossed | Reason.CallerCancelled | Reason.BodyTooLarge
+  | Reason.AnswerCrossed | Reason.AnswerMalformed | Reason.CallerCancelled | Reason.BodyTooLarge
 
 /** A complete answer. */
 export interface PoolAnswer {
