Give what a stopping node sends a deadline before its end

In a planned stop, requests were passed on with the whole time limit of their client and broken off at the end of the grace period while their servers ran them. Calls that waited for a slot at the stopping node met the same end, and a request whose body was still arriving was closed 2.3 s after the signal.

Cause: the time that is left was checked when a request was accepted, as a share of the grace period, and was not part of the deadline that servers get. Waiting calls counted as accepted.

Change: sends of a stopping node have a deadline 0.55 s before the end of its grace period, and nothing is sent after that. All requests are accepted for 3 s at most. Waiting calls are refused with proof and run elsewhere. Requests that are arriving keep the process within the grace period.

--- a/src/http/callerConnection.ts
+++ b/src/http/callerConnection.ts
@@ -3,8 +3,8 @@
 import { AnswerWriter } from './answerWriter.js'
 import { BodyBuffer } from './bodyBuffer.js'
 import type { CallerServer } from './callerServer.js'
-import type { CallerBounds, IncomingRequest, OutgoingAnswer, RejectionStatus } from './callerServerTypes.js'
-import { bodyLength, type MessageBody } from './messageBody.js'
+import type { CallerBounds, IncomingRequest, OutgoingAnswer, ParsedRequest, RejectionStatus } from './callerServerTypes.js'
+import { bodyLength } from './messageBody.js'
 import { MessageLimit, MessageLimitError } from './messageLimits.js'
 import { MessageParser, type MessageHead } from './messageParser.js'
 import { headerValue, joinMessage } from './messageText.js'
@@ -27,14 +27,6 @@
 
 type ConnectionPhase = 'idle' | 'head' | 'body' | 'waiting' | 'sending' | 'closing'
 
-interface ParsedRequest {
-  readonly head: MessageHead
-  readonly body: MessageBody
-  readonly bodyBytes: number
-  readonly headMemoryBytes: number
-  readonly beganAtMs: Millis
-}
-
 /** One connection of a caller. Handles one request at a time and answers in the order of the requests. */
 export class CallerConnection {
   readonly #server: CallerServer
@@ -92,6 +84,11 @@
     return this.#phase === 'idle' && this.#currentRequest === null
   }
 
+  /** Whether a request has begun to arrive and is not complete. */
+  get isReceiving (): boolean {
+    return this.#phase === 'head' || this.#phase === 'body'
+  }
+
   #enterPhase (phase: ConnectionPhase): void {
     this.#phase = phase
     this.#phaseStartedAtMs = this.#server.options.clock.monotonicMs()
--- a/src/http/callerServer.ts
+++ b/src/http/callerServer.ts
@@ -113,6 +113,12 @@
     for (const connection of this.#connections) connection.closeIfIdle()
   }
 
+  /** Whether a request has begun to arrive and is not complete. */
+  get isReceiving (): boolean {
+    for (const connection of this.#connections) if (connection.isReceiving) return true
+    return false
+  }
+
   /** Whether an answer has not been handed to the operating system completely. */
   get hasUnsentAnswers (): boolean {
     for (const connection of this.#connections) if (connection.hasUnsentBytes) return true
--- a/src/http/callerServerTypes.ts
+++ b/src/http/callerServerTypes.ts
@@ -12,6 +12,15 @@
   readonly idleTimeoutMs: Millis
 }
 
+/** A complete request that its connection has not answered. */
+export interface ParsedRequest {
+  readonly head: MessageHead
+  readonly body: MessageBody
+  readonly bodyBytes: number
+  readonly headMemoryBytes: number
+  readonly beganAtMs: Millis
+}
+
 export interface OutgoingAnswer {
   readonly statusCode: number
   readonly statusText: string
--- a/src/mesh/entryTask.ts
+++ b/src/mesh/entryTask.ts
@@ -47,6 +47,8 @@
   readonly discovery: DiscoveryDb
   readonly placement: PlacementDb
   readonly metrics: NodeMetrics
+  /** When servers have to answer what is sent to them now, by the monotonic clock: before a stopping process ends. */
+  readonly answerByMs: () => Millis
   /** Sends a call to the node of a backend server, or to this node's backend server. */
   readonly dispatch: (server: ListedServer, call: DispatchedCall, listener: DispatchListener) => DispatchHandle
 }
@@ -116,6 +118,11 @@
       return
     }
     const nowMs = clock.monotonicMs()
+    if (nowMs >= this.#options.answerByMs()) {
+      call.lastRefusal = RefusalReason.Stopping
+      this.#answerWithoutResult(call)
+      return
+    }
     const servers = discoveryDefinition.serversOf(discovery, call.serviceName)
     const choice = placementDefinition.choose(placement, call.hasReachedAllServers
       ? { servers: servers.filter(({ serverId }) => call.refusedByServerIds.has(serverId)), triedServerIds: [] }
@@ -161,7 +168,7 @@
   }
 
   #dispatchedCall (call: EntryCall, server: ListedServer, nowMs: Millis): DispatchedCall {
-    const remainingMs = call.deadlineAtMs - nowMs
+    const remainingMs = Math.min(call.deadlineAtMs, this.#options.answerByMs()) - nowMs
     return {
       serviceName: call.serviceName,
       serverId: server.serverId,
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -311,14 +311,15 @@
     })
   }
 
-  /** Whether the backend server has said that it leaves. It gets no further calls, whatever its list entry says. */
-  get isServerDeparting (): boolean {
-    return this.#isServerDeparting
+  /** Whether the process goes on and the backend server has not said that it leaves, whatever its list entry says. */
+  get acceptsCalls (): boolean {
+    return !this.#isStopping && !this.#isServerDeparting
   }
 
-  /** Refuses new calls because the process stops; calls accepted before run on. */
+  /** Refuses new and waiting calls because the process stops, so that other nodes run them. Running calls go on. */
   stopAccepting (): void {
     this.#isStopping = true
+    slotsDefinition.setAcceptsWork(this.options.slots, false)
   }
 
   /** Starts or refuses waiting calls as time passes, and closes idle connections. */
--- a/src/mesh/gracefulStop.ts
+++ b/src/mesh/gracefulStop.ts
@@ -6,10 +6,13 @@
 const CALLERS_IDLE_MS: Millis = 400
 /** Share of the grace period after which a stopping node accepts no connections, even if requests still arrive. */
 const ACCEPTING_MAX_RATIO = 0.75
-/** Share of the grace period after which it accepts only requests that end within it, whatever their servers do. */
+/** After this time or share of the grace period it accepts only requests whose time limit ends within it. */
+const ACCEPTING_ALL_MAX_MS: Millis = 3_000
 const ACCEPTING_ALL_RATIO = 0.5
 /** Time at the end of the grace period for closing connections, before the process is killed. */
 const CLOSING_MARGIN_MS: Millis = 300
+/** Time before that in which the last answers of servers are passed on. */
+const ANSWERING_MARGIN_MS: Millis = 250
 
 export enum StopPhase {
   Accepting = 'accepting',
@@ -57,8 +60,17 @@
    */
   mayAccept (timeoutMs: Millis): boolean {
     const { elapsedMs } = this
-    if (elapsedMs < this.#graceMs * ACCEPTING_ALL_RATIO) return true
-    return elapsedMs + timeoutMs < this.#graceMs - CLOSING_MARGIN_MS
+    if (elapsedMs < Math.min(ACCEPTING_ALL_MAX_MS, this.#graceMs * ACCEPTING_ALL_RATIO)) return true
+    return this.#clock.monotonicMs() + timeoutMs < this.answerByMs
+  }
+
+  /**
+   * When servers have to answer requests that are sent to them from now on, by the monotonic clock; infinite before the
+   * stop. A server that is still at work when the process ends would be cut off.
+   */
+  get answerByMs (): Millis {
+    if (this.#beganAtMs === null) return Infinity
+    return this.#beganAtMs + this.#graceMs - CLOSING_MARGIN_MS - ANSWERING_MARGIN_MS
   }
 
   /** `lastReceivedAtMs` is when the last request arrived. */
--- a/src/mesh/meshNode.ts
+++ b/src/mesh/meshNode.ts
@@ -159,6 +159,7 @@
       metrics: this.#metrics,
       allotment: this.#allotmentTask,
       mayAccept: timeoutMs => this.#stop.mayAccept(timeoutMs),
+      answerByMs: () => this.#stop.answerByMs,
       runningCall: requestId => this.#executor.runningById.get(requestId),
       dispatch: (server, call, listener) => this.#dispatch(server, call, listener)
     })
@@ -265,7 +266,7 @@
   #continueStop (): void {
     const { log, onStopped } = this.#options
     const isBusy = this.#entryTask.openCount > 0 || this.#executor.openExecutions.size > 0 ||
-      this.#callerServer.hasUnsentAnswers || this.#peerServer.hasUnsentResults
+      this.#callerServer.hasUnsentAnswers || this.#callerServer.isReceiving || this.#peerServer.hasUnsentResults
     const phase = this.#stop.phase(isBusy, this.#entryTask.lastReceivedAtMs)
     if (phase === StopPhase.Accepting) return
     this.#callerServer.close()
@@ -389,7 +390,7 @@
       this.#executor.setListedServer(server)
       if (this.#stop.isStopping) placementDefinition.markLeaving(this.#placement, server, nowMs)
     }
-    const acceptsWork = isOwn && server.state === ServerState.Ready && !this.#executor.isServerDeparting
+    const acceptsWork = isOwn && server.state === ServerState.Ready && this.#executor.acceptsCalls
     if (acceptsWork === this.#slots.acceptsWork) return
     log.event('own_server', {
       accepts_work: acceptsWork, server: server?.serverId ?? 'none', revision: this.#discovery.revision
