Keep a configuration from a stale read to the node that read it

Cause: found while reading the change. All nodes of a fleet may start at the same time, and the early part of a first read of several pages made each of them send the configuration to all others.

Change: a configuration from a read that may be stale is applied early, but not sent on, as the rest of such a read.

--- a/src/mesh/publishedStateTask.ts
+++ b/src/mesh/publishedStateTask.ts
@@ -72,7 +72,7 @@
       revision: () => discovery.revision,
       era: () => discovery.era,
       proof,
-      onConfiguration: published => this.#applyEarlyConfiguration(published),
+      onConfiguration: (published, isStale) => this.#applyEarlyConfiguration(published, isStale),
       onState: (state, readAtMs) => this.#applyState(state, readAtMs),
       onChanges: (changes, readAtMs) => this.#applyChanges(changes, readAtMs)
     })
@@ -142,9 +142,10 @@
     this.#options.onListEvents(usedEvents)
   }
 
-  /** Applies a configuration whose servers are still being read, and passes it on. */
-  #applyEarlyConfiguration ({ configuration, text }: PublishedConfiguration): void {
-    if (this.#applyConfiguration(configuration, text, 'store')) this.#peerSync.broadcastConfiguration()
+  /** Applies a configuration whose servers are still being read, and passes it on unless it may be stale. */
+  #applyEarlyConfiguration ({ configuration, text }: PublishedConfiguration, isStale: boolean): void {
+    const isNew = this.#applyConfiguration(configuration, text, 'store')
+    if (isNew && !isStale) this.#peerSync.broadcastConfiguration()
   }
 
   #applyState (state: PublishedState, readAtMs: Millis): void {
--- a/src/mesh/storeTask.ts
+++ b/src/mesh/storeTask.ts
@@ -45,8 +45,8 @@
   readonly era: () => number
   /** Null if reads need not prove the age of the configuration. */
   readonly proof: StoreReadProof | null
-  /** Called during a long read of everything. */
-  readonly onConfiguration: (published: PublishedConfiguration) => void
+  /** Called during a long read of everything; `isStale` is whether that read may be stale. */
+  readonly onConfiguration: (published: PublishedConfiguration, isStale: boolean) => void
   /** `readAtMs` is negative infinity for a read that may be stale. */
   readonly onState: (state: PublishedState, readAtMs: Millis) => void
   readonly onChanges: (changes: PublishedChanges, readAtMs: Millis) => void
@@ -137,7 +137,7 @@
     const startedAtMs = clock.monotonicMs()
     const sentAtMs = proof?.nowMs() ?? 0
     const mayBeStale = revision() < 0
-    const result = await store.readAll(READ_TIMEOUT_MS, mayBeStale, onConfiguration)
+    const result = await store.readAll(READ_TIMEOUT_MS, mayBeStale, published => onConfiguration(published, mayBeStale))
     return result.caseOf<StoreFailure | null>({
       Left: failure => failure,
       Right: state => {
