Do not hold up a stopping node for a request that stalls

Cause: the process waited for the rest of each request that had begun to arrive, also of one that stalls.

Change: it waits only while bytes of the request keep arriving, with pauses below 0.4 s.

--- a/src/http/callerServer.ts
+++ b/src/http/callerServer.ts
@@ -9,6 +9,8 @@
 export * from './callerServerTypes.js'
 
 /** Interval of the checks for idle connections and slow senders. */
+/** A request of which no byte has arrived for this long stalls. */
+const RECEIVING_SILENT_MAX_MS: Millis = 400
 const TIMEOUT_CHECK_PERIOD_MS: Millis = 500
 
 /** The connection with the largest value above 0, or undefined. */
@@ -113,9 +115,12 @@
     for (const connection of this.#connections) connection.closeIfIdle()
   }
 
-  /** Whether a request has begun to arrive and is not complete. */
+  /** Whether a request is arriving: it is not complete, and does not stall. */
   get isReceiving (): boolean {
-    for (const connection of this.#connections) if (connection.isReceiving) return true
+    const nowMs = this.options.clock.monotonicMs()
+    for (const connection of this.#connections) {
+      if (connection.isReceiving && connection.silentMs(nowMs) < RECEIVING_SILENT_MAX_MS) return true
+    }
     return false
   }
 
