--- a/src/http/callerServer.ts
+++ b/src/http/callerServer.ts
@@ -9,9 +9,9 @@
 export * from './callerServerTypes.js'
 
 /** Interval of the checks for idle connections and slow senders. */
+const TIMEOUT_CHECK_PERIOD_MS: Millis = 500
 /** A request of which no byte has arrived for this long stalls. */
 const RECEIVING_SILENT_MAX_MS: Millis = 400
-const TIMEOUT_CHECK_PERIOD_MS: Millis = 500
 
 /** The connection with the largest value above 0, or undefined. */
 function largestBy (
