Keep what is known of servers when a configuration comes into force

Each configuration would have made nodes forget the limits, departures and load of all servers whose entries had been written again since the last rebuild.

Cause: setKnownServices compared entries by object, and heartbeats replace the objects in the list without a rebuild of the indexes. So it reported all these servers as left and joined.

Change: entries are compared by address and id.

--- a/src/core/discovery/discoveryDefinition.spec.ts
+++ b/src/core/discovery/discoveryDefinition.spec.ts
@@ -109,6 +109,15 @@
     expect(discovery.serversOf(db, 'depot')).toHaveLength(1)
   })
 
+  // What is known of a server, such as its limit, would be dropped with each configuration.
+  test('a configuration that names the same services causes no events after heartbeats', () => {
+    const db = discovery.createDb(discovery.defaults)
+    discovery.setKnownServices(db, new Set(['depot']))
+    applyRead(db, { revision: 5, servers: [server('1', 3)] }, 0)
+    discovery.applyChanges(db, contiguousChanges(6, [{ kind: 'written', server: server('1', 6, { sequence: 2 }) }]), 100)
+    expect(discovery.setKnownServices(db, new Set(['depot', 'orders']))).toEqual([])
+  })
+
   test('peers learn of entries of unknown services, since their configuration may name them', () => {
     const db = discovery.createDb(discovery.defaults)
     discovery.setKnownServices(db, new Set(['depot']))
--- a/src/core/discovery/discoveryDefinition.ts
+++ b/src/core/discovery/discoveryDefinition.ts
@@ -248,13 +248,18 @@
  * setKnownServices(db, new Set(['depot'])) // [{ kind: 'joined', ... }]
  */
 function setKnownServices (db: DiscoveryDb, knownServices: ReadonlySet<string>): ListEvent[] {
-  const before = new Set(db.byAddress.values())
+  const before = db.byAddress
   db.knownServices = knownServices
   rebuildIndexes(db)
-  const after = new Set(db.byAddress.values())
+  const after = db.byAddress
   const events: ListEvent[] = []
-  for (const server of before) if (!after.has(server)) events.push({ kind: 'left', server, revision: server.revision })
-  for (const server of after) if (!before.has(server)) events.push({ kind: 'joined', server })
+  // Heartbeats replace entries without a rebuild, so entries are compared by their ids.
+  for (const [address, server] of before) {
+    if (after.get(address)?.serverId !== server.serverId) events.push({ kind: 'left', server, revision: server.revision })
+  }
+  for (const [address, server] of after) {
+    if (before.get(address)?.serverId !== server.serverId) events.push({ kind: 'joined', server })
+  }
   return events
 }
 
