Check how a server ended an answer that ends with its connection

Callers got part of an answer as a whole one. A backend server answered an upload with a 200 without a length, sent part of the body and reset the connection while the upload was being written.

Cause: the end of the connection was taken for an orderly end. If a poll reports bytes and a hang-up together, libuv reads the bytes and reports the end without reading again, so the error of the reset stays in the socket until something is written.

Change: at the end of an answer without a length, the process writes zero bytes and lets two turns of the event loop pass. Any error but EPIPE breaks the exchange. Nothing waits for the rest of the upload. Broken answers are logged with cause and reason; the counter runs{result} counted them before.

Answers that are whole before the reset stay answers.

--- a/src/http/exchangeConnection.ts
+++ b/src/http/exchangeConnection.ts
@@ -31,6 +31,7 @@
  * request again: the id would not tell a late copy of the refusal from the answer.
  */
 const REFUSED_MAX_COUNT = 256
+const EMPTY_BYTES = Buffer.alloc(0)
 
 /** One connection of a pool, with at most one request at a time. */
 export class ExchangeConnection implements Exchange {
@@ -56,6 +57,8 @@
   #onProbed: ((isOpen: boolean) => void) | null
   #isOpen = false
   #isClosed = false
+  /** Whether an answer has come to the end of the connection, and it is being checked how the server ended that. */
+  #isCheckingEnd = false
   idleSinceMs: Millis = 0
   idleMaxMs: Millis
 
@@ -69,7 +72,8 @@
       onBody: chunk => this.#onBody(chunk),
       onEnd: restBytes => this.#onEnd(restBytes)
     }, ANSWER_HEAD_MAX_BYTES)
-    this.#socket = connect({ host, port, noDelay: true })
+    // Half-open, so that something can be written after the end.
+    this.#socket = connect({ host, port, noDelay: true, allowHalfOpen: true })
     this.#reader = new PacedReader(this.#socket, this.#parser, error => this.#onMalformed(error))
     const timer = setTimeout(() => this.#fail('connect timed out'), connectTimeoutMs)
     this.#socket.on('connect', () => {
@@ -84,7 +88,7 @@
     })
     this.#socket.on('data', (chunk: Buffer) => this.#onData(chunk))
     this.#socket.on('end', () => this.#onFin())
-    this.#socket.on('error', (error: NodeJS.ErrnoException) => this.#fail(error.code ?? 'error'))
+    this.#socket.on('error', (error: NodeJS.ErrnoException) => this.#onSocketError(error))
     this.#socket.on('close', () => {
       clearTimeout(timer)
       this.#fail('closed')
@@ -134,7 +138,7 @@
 
   #onMalformed (error: Error): void {
     if (error instanceof MessageLimitError) this.failByLimit(error.limit, error.message)
-    else this.#fail('malformed answer', BrokenCause.Malformed)
+    else this.#fail(error.message, BrokenCause.Malformed)
   }
 
   /** Ends the connection because the server sent more than a limit allows. */
@@ -283,12 +287,32 @@
 
   #onFin (): void {
     this.#reader.finish(() => {
-      const isWhole = this.#request !== null && this.#head !== null && !this.#head.hasLength &&
-        this.#parser.finish() === undefined
-      if (!isWhole) this.#fail('closed by peer')
+      if (this.#head === null || this.#head.hasLength) this.#fail('closed by peer')
+      else this.#checkEnd()
     })
   }
 
+  /**
+   * Checks whether the server ended an answer without a length in order. libuv also reports the end of a connection
+   * that was reset if it has read its last bytes and the reset is already known. Only a write returns the error then.
+   */
+  #checkEnd (): void {
+    this.#isCheckingEnd = true
+    this.#socket.write(EMPTY_BYTES)
+    // The error of a write that is under way is reported in the next poll phase of the event loop at the latest.
+    setImmediate(() => setImmediate(() => this.#endAnswer()))
+  }
+
+  #endAnswer (): void {
+    if (!this.#isClosed && this.#parser.finish() !== undefined) this.#fail('closed by peer')
+  }
+
+  #onSocketError ({ code = 'error' }: NodeJS.ErrnoException): void {
+    // A connection that was reset without an orderly end before returns ECONNRESET first.
+    if (this.#isCheckingEnd && code === 'EPIPE') this.#endAnswer()
+    else this.#fail(code)
+  }
+
   #fail (reason: string, cause = BrokenCause.ConnectionLost): void {
     if (this.#isClosed) return
     this.#isClosed = true
--- a/src/http/exchangePool.spec.ts
+++ b/src/http/exchangePool.spec.ts
@@ -1,80 +1,14 @@
-import { createServer, type Server, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
+import { PoolFixture } from '../testing/poolFixture.js'
 import { bodyLength } from './messageBody.js'
-import { systemClock } from '../clock/clock.js'
-import { AnswerMatch, BrokenCause, ExchangePool, type ExchangeRequest, type ExchangeResult } from './exchangePool.js'
-import type { MessageHead } from './messageParser.js'
+import { AnswerMatch, BrokenCause, type ExchangeResult } from './exchangePool.js'
 import { MessageLimit } from './messageLimits.js'
-import { headerValue } from './messageText.js'
 
 const MIB = 1024 * 1024
 const HEAD = 'HTTP/1.1 200 OK\r\nid: a\r\n'
 const CHUNKED_HEAD = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`
 
-/** Server that handles each connection with a function, and a pool of connections to it. */
-class PoolFixture {
-  readonly limits: MessageLimit[] = []
-  readonly foreignAnswers: AnswerMatch[] = []
-  connectionsCount = 0
-  connectionsMaxCount = 100
-  pool!: ExchangePool
-  readonly memory = memoryAccountDefinition.createDb({ sideBytes: 12 * MIB, connectionsBytes: MIB })
-  readonly #sockets = new Set<Socket>()
-  readonly #server: Server
-
-  constructor (onRequest: (socket: Socket, text: string, number: number) => void) {
-    this.#server = createServer(socket => {
-      this.connectionsCount += 1
-      let number = 0
-      this.#sockets.add(socket)
-      socket.on('error', () => {})
-      socket.on('data', chunk => onRequest(socket, chunk.toString('latin1'), number++))
-    })
-  }
-
-  async start (): Promise<this> {
-    await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve))
-    const { port } = this.#server.address() as { port: number }
-    this.pool = new ExchangePool({
-      host: '127.0.0.1',
-      port,
-      clock: systemClock,
-      connectTimeoutMs: 500,
-      idleMaxMs: 5_000,
-      answerMaxBytes: 4 * MIB,
-      memory: this.memory,
-      connectionsMaxCount: () => this.connectionsMaxCount,
-      onLimitExceeded: limit => { this.limits.push(limit) },
-      onForeignAnswer: match => { this.foreignAnswers.push(match) }
-    })
-    memoryAccountDefinition.addHolder(this.memory, this.pool)
-    return this
-  }
-
-  send (id = 'a', options: Partial<ExchangeRequest> = {}): Promise<ExchangeResult> {
-    return new Promise(resolve => {
-      this.pool.send({
-        bytes: Buffer.from(`GET /${id} HTTP/1.1\r\n\r\n`),
-        isHead: false,
-        requestId: id,
-        matchAnswer: (head: MessageHead) => {
-          const echoedId = headerValue(head.headers, 'id')
-          if (echoedId === undefined) return AnswerMatch.Unidentified
-          return echoedId === id ? AnswerMatch.Own : AnswerMatch.OtherRequest
-        },
-        onResult: resolve,
-        ...options
-      })
-    })
-  }
-
-  close (): void {
-    this.pool.closeAll()
-    this.#server.close()
-    for (const socket of this.#sockets) socket.destroy()
-  }
-}
-
 let fixture: PoolFixture
 
 async function startPool (onRequest: (socket: Socket, text: string, number: number) => void): Promise<void> {
--- a/src/mesh/executor.ts
+++ b/src/mesh/executor.ts
@@ -137,6 +137,7 @@
     if (this.#stage === 'ended') return
     const { crashGuard } = this.#executor.options
     if (result.kind === 'broken') {
+      this.#executor.logBrokenAnswer(this.call, result)
       crashGuard.recordBrokenCall(this.call)
       this.#executor.probeForCrash()
     } else if (result.kind === 'not_sent') crashGuard.recordConnectFailure()
@@ -311,6 +312,10 @@
     })
   }
 
+  logBrokenAnswer ({ requestId }: DispatchedCall, { cause, reason }: Extract<ExchangeResult, { kind: 'broken' }>): void {
+    this.options.log.requestFailed('answer_broken', { request: requestId, server: this.ownServer.listedId, cause, reason })
+  }
+
   /** Whether the process goes on and the backend server has not said that it leaves, whatever its list entry says. */
   get acceptsCalls (): boolean {
     return !this.#isStopping && !this.#isServerDeparting
