Accept only tokens as field names, and no control bytes in values

Callers got answers whose heads have fields with a control byte or a byte above 0x7F in the name: with that line, or, if it was the framing field that was written so, with another body than the server's. Requests with such fields were passed on to servers.

Cause: the check of the parser named the characters that are not allowed in a name, and missed control bytes and bytes above 0x7F. Values were only checked for CR and NUL, and trimmed with a function that removes other white space too: a value that ends with the byte 0xA0, such as "voila" with an accent in UTF-8, lost it.

Change: one module has what is allowed: a token as a name, visible characters, blanks, tabs and bytes above 0x7F in values and reason phrases; blanks and tabs are removed around values. Other control bytes are refused too, since the next recipient would refuse the whole message. The target of a request has no control bytes either. An answer from another node is checked alike, since a node of an older build accepts any; its outcome is unknown.

Names with a blank, blanks before the colon, folded lines and lines without a colon or a name were refused before.

--- a/src/http/callerServer.spec.ts
+++ b/src/http/callerServer.spec.ts
@@ -188,3 +188,25 @@
   while (ends.length < 6) await new Promise(resolve => setTimeout(resolve, 5))
   expect(ends.sort()).toEqual(['end 3', 'end 4', 'end 5', 'reset 0', 'reset 1', 'reset 2'])
 })
+
+// Elsewhere, such lines changed where the body ends.
+test.each([
+  ['a blank in the name', 'Content Length: 3\r\n'],
+  ['a blank before the colon', 'Content-Length : 3\r\n'],
+  ['a control byte in the name', 'Content-Length\x01: 3\r\n'],
+  ['a control byte in a name at the end', 'Content-Length: 3\r\na\x7Fb: c\r\n'],
+  ['no name', 'Content-Length: 3\r\n: b\r\n'],
+  ['no colon', 'Content-Length: 3\r\nab\r\n'],
+  ['a folded line', 'Content-Length: 3\r\na: b\r\n c\r\n'],
+  ['a control byte in a value', 'Content-Length: 3\r\na: b\x00c\r\n']
+])('a request with %s in its fields gets 400 and is not passed on', async (_name, lines) => {
+  let passedOnCount = 0
+  await startServer(request => {
+    passedOnCount += 1
+    answerWithLength(request)
+  })
+  expect(await send(Buffer.from(`${POST}${lines}\r\nabc`, 'latin1'))).toMatch(/^HTTP\/1\.1 400 /)
+  const chunked = `${POST}Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n${lines.replace('Content-Length: 3', 'b: c')}\r\n`
+  expect(await send(Buffer.from(chunked, 'latin1'))).toMatch(/^HTTP\/1\.1 400 /)
+  expect(passedOnCount).toBe(0)
+})
--- a/src/http/messageParser.spec.ts
+++ b/src/http/messageParser.spec.ts
@@ -129,3 +129,84 @@
     expect(bodyBytes).toBe(10_000)
   })
 })
+
+describe('field lines', () => {
+  const BYTES = Array.from({ length: 256 }, (_, code) => String.fromCharCode(code))
+  /** RFC 9110, section 5.6.2. */
+  const NAME_CHARS = new Set("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz")
+  const AFTER = 'Content-Length: 0\r\n\r\n'
+  const PLACES: ReadonlyArray<readonly [string, 'REQUEST' | 'RESPONSE', (line: string) => string]> = [
+    ['the first line of a request', 'REQUEST', line => `POST / HTTP/1.1\r\n${line}\r\nHost: x\r\n${AFTER}`],
+    ['the last line of a request', 'REQUEST', line => `POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n${line}\r\n\r\n`],
+    ['a trailer of a request', 'REQUEST', line => `POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n${line}\r\n\r\n`],
+    ['the first line of an answer', 'RESPONSE', line => `HTTP/1.1 200 OK\r\n${line}\r\n${AFTER}`],
+    ['the last line of an answer', 'RESPONSE', line => `HTTP/1.1 200 OK\r\nContent-Length: 0\r\n${line}\r\n\r\n`],
+    ['an interim answer', 'RESPONSE', line => `HTTP/1.1 103 Early Hints\r\n${line}\r\n\r\nHTTP/1.1 200 OK\r\n${AFTER}`],
+    ['a trailer of an answer', 'RESPONSE', line => `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n${line}\r\n\r\n`]
+  ]
+
+  function isAccepted (kind: 'REQUEST' | 'RESPONSE', text: string): boolean {
+    const { error } = parse(kind, [text])
+    expect([text, parse(kind, [...text]).error]).toEqual([text, error])
+    return error === ''
+  }
+
+  function quote (chars: readonly string[]): string {
+    return JSON.stringify(chars.join(''))
+  }
+
+  describe.each(PLACES)('in %s', (_place, kind, inPlace) => {
+    test.each([
+      ['first', (char: string) => `${char}a: b`],
+      ['inner', (char: string) => `a${char}a: b`],
+      ['last', (char: string) => `a${char}: b`]
+    ])('have a name that is a token, by its %s character', (_name, withChar) => {
+      // A line feed ends the line. A colon ends the name, so that it is allowed after the first character.
+      const chars = BYTES.filter(char => char !== '\n')
+      const accepted = chars.filter(char => isAccepted(kind, inPlace(withChar(char))))
+      const allowed = chars.filter(char => NAME_CHARS.has(char) || (char === ':' && withChar('x').startsWith('a')))
+      expect(quote(accepted)).toBe(quote(allowed))
+    })
+
+    test('have a value without control bytes other than the tab', () => {
+      const accepted = BYTES.filter(char => isAccepted(kind, inPlace(`a: b${char}c`)))
+      const isControl = (char: string): boolean => (char < ' ' && char !== '\t') || char === '\x7F'
+      expect(quote(accepted)).toBe(quote(BYTES.filter(char => !isControl(char))))
+    })
+
+    test.each([
+      ':', ': b', ' : b', '\t: b', 'a', ' a: b', '\ta: b', 'a : b', 'a\t: b', 'a: b\r\n c', 'a: b\r\n\tc', 'a: b\r\n ', 'a: b\r\nc',
+      'Content-Length : 3', 'Content-Length\t: 3', ' Content-Length: 3', 'Content-Length\0: 3', '\x01Content-Length: 3', 'Content-Length\x7F: 3',
+      'Content-\r\n Length: 3', 'Transfer-Encoding : chunked', 'Transfer-Encoding\x0B: chunked', 'Transfer-Encoding\xA0: chunked', '\xFFa: b',
+      'a\r: b', 'a: b\rContent-Length: 3'
+    ])('are refused like %j', line => {
+      expect(isAccepted(kind, inPlace(line))).toBe(false)
+    })
+  })
+
+  test('have values whose bytes above 0x7F and inner blanks stay as they were', () => {
+    const values = ['\xA0a\xA0', 'voil\xC3\xA0', '\x80\xFF', 'a \t b', '"a, b"; c=d:e']
+    const lines = values.map((value, at) => `f${at}: \t ${value} \t\r\n`).join('')
+    for (const [kind, start] of [['REQUEST', 'GET / HTTP/1.1'], ['RESPONSE', 'HTTP/1.1 204 No Content']] as const) {
+      const { heads } = parse(kind, [`${start}\r\n${lines}empty:\r\nblank: \t \r\n\r\n`])
+      expect(heads[0]?.headers.filter((_text, at) => at % 2 === 1)).toEqual([...values, '', ''])
+    }
+  })
+
+  test('are read in time that is linear in their length', () => {
+    const startedAt = process.cpuUsage()
+    const parser = new MessageParser('RESPONSE', { onHead: () => false, onBody: () => {}, onEnd: () => {} }, 1_000_000)
+    parser.read(Buffer.from(`HTTP/1.1 200 OK\r\na: ${' '.repeat(400_000)}b${' '.repeat(400_000)}\x01\r\n\r\n`))
+    while (parser.hasUnread && parser.readMore() === undefined);
+    expect(process.cpuUsage(startedAt).user / 1_000).toBeLessThan(1_000)
+  })
+})
+
+test.each(['a\x00b', 'a\rb', 'a\x1Bb', 'a\x7Fb'])('a reason phrase or target with a control byte is refused: %j', text => {
+  expect(parse('RESPONSE', [`HTTP/1.1 200 ${text}\r\nContent-Length: 0\r\n\r\n`]).error).toContain('malformed status line')
+  expect(parse('REQUEST', [`GET /${text} HTTP/1.1\r\nHost: x\r\n\r\n`]).error).not.toBe('')
+})
+
+test.each(['voil\xC3\xA0', 'a\tb', ''])('a reason phrase of other bytes is accepted: %j', text => {
+  expect(parse('RESPONSE', [`HTTP/1.1 200 ${text}\r\nContent-Length: 0\r\n\r\n`]).heads).toMatchObject([{ statusText: text }])
+})
--- a/src/http/messageParser.ts
+++ b/src/http/messageParser.ts
@@ -1,5 +1,6 @@
 import { HTTPParser } from 'http-parser-js'
 import { StepError, Step } from '../errors/errors.js'
+import { isFieldName, isFieldText, trimBlanks } from './fieldSyntax.js'
 import { MessageLimit, MessageLimitError } from './messageLimits.js'
 import { headerValue } from './messageText.js'
 
@@ -16,6 +17,8 @@
 const DIGITS = /^\d{1,15}$/
 /** Status codes have three digits and five classes (RFC 9110, section 15). */
 const STATUS_LINE = /^HTTP\/(\d)\.(\d) ([1-5]\d\d)(?: (.*))?$/
+/** Visible characters, and bytes above 0x7F, which often are in paths although they should be encoded. */
+const TARGET = /^[\x21-\x7E\x80-\xFF]+$/
 /** Switches the protocol, which no request asks for. */
 const SWITCHING_PROTOCOLS = 101
 const CHUNK_SIZE_LINE = /^([0-9a-fA-F]{1,12})[ \t]*(;.*)?$/
@@ -131,7 +134,7 @@
   const line = this.consumeLine()
   if (line === undefined || line === '') return
   const match = STATUS_LINE.exec(line)
-  if (match === null) throw parseError('malformed status line')
+  if (match === null || !isFieldText(match[4] ?? '')) throw parseError('malformed status line')
   const statusCode = Number(match[3])
   Object.assign(this.info, {
     versionMajor: Number(match[1]), versionMinor: Number(match[2]), statusCode, statusMessage: match[4] ?? ''
@@ -147,13 +150,15 @@
     headerValue(headers, 'transfer-encoding') !== undefined
 }
 
-/** Replaces the library's method, which skips header lines without a name and joins folded lines. */
+/** Replaces the library's method, which skips header lines without a name, joins folded lines and accepts any bytes. */
 function parseHeader (this: ParserInternals, line: string, headers: string[]): void {
   const colonAt = line.indexOf(':')
-  if (colonAt <= 0 || line.includes('\r') || line.includes('\0')) throw parseError('malformed header line')
+  if (colonAt < 0) throw parseError('header line without a colon')
   const name = line.slice(0, colonAt)
-  if (/[\s"(),/:;<=>?@[\\\]{}]/.test(name)) throw parseError('malformed header name')
-  headers.push(name, line.slice(colonAt + 1).trim())
+  if (!isFieldName(name)) throw parseError('header name is not a token')
+  const value = line.slice(colonAt + 1)
+  if (!isFieldText(value)) throw parseError('control byte in a header value')
+  headers.push(name, trimBlanks(value))
 }
 
 /**
@@ -194,6 +199,7 @@
       shouldKeepAlive: boolean
       upgrade: boolean
     }) => {
+      if (kind === 'REQUEST' && !TARGET.test(info.url)) throw parseError('malformed request target')
       const reason = findFramingError(info.headers)
       if (reason !== '') throw parseError(reason)
       if (kind === 'RESPONSE' && isInvalidInterim(info.statusCode, info.headers)) {
--- a/src/mesh/frames.spec.ts
+++ b/src/mesh/frames.spec.ts
@@ -1,6 +1,6 @@
 import { pack, unpack } from 'msgpackr'
 import { encodeBodyPartHead } from './bodyPartHead.js'
-import { encodeFrame, FrameKind, FrameReader } from './frames.js'
+import { encodeFrame, FrameKind, FrameReader, type Frame } from './frames.js'
 import { RefusalReason, UnknownOutcomeReason, type ResultReport } from './meshTypes.js'
 
 const REPORT: ResultReport = {
@@ -47,19 +47,45 @@
   expect(entry!.refusedRatio ?? 0).toBeLessThanOrEqual(1)
 })
 
-// A node of an older build forwards what the parser refuses now.
-test.each([0, 99, 101, 600, 1_000, Number.NaN])('an answer with status %d from another node has an unknown outcome', statusCode => {
-  const result = {
-    kind: 'answered', statusCode, statusText: '', headerText: '', body: Buffer.alloc(0), hasLength: true, servedMs: 1
-  } as const
-  const answers = [
+const ANSWERED = {
+  kind: 'answered', statusCode: 200, statusText: '', headerText: '', body: Buffer.alloc(0), hasLength: true, servedMs: 1
+} as const
+const UNKNOWN = { kind: 'unknown', reason: UnknownOutcomeReason.MalformedAnswer }
+const UNKNOWN_FRAMES = [7, 8].map(number => (
+  { kind: FrameKind.UnknownOutcome, number, result: UNKNOWN, report: REPORT }
+))
+
+/** Encodes and reads the frames of an answer as a whole and of an announced one. */
+function readAnswers (answer: object): Frame[] {
+  const result = { ...ANSWERED, ...answer }
+  return new FrameReader().read(Buffer.concat([
     encodeFrame({ kind: FrameKind.Answered, number: 7, result, report: REPORT }),
     encodeFrame({ kind: FrameKind.LongAnswer, number: 8, result, report: REPORT, bodyBytes: 70_000 })
-  ]
-  const unknown = { kind: 'unknown', reason: UnknownOutcomeReason.MalformedAnswer }
-  expect(new FrameReader().read(Buffer.concat(answers))).toMatchObject([7, 8].map(number => (
-    { kind: FrameKind.UnknownOutcome, number, result: unknown, report: REPORT }
-  )))
+  ]))
+}
+
+// A node of an older build forwards what the parser refuses now.
+test.each([0, 99, 101, 600, 1_000, Number.NaN])('an answer with status %d from another node has an unknown outcome', statusCode => {
+  expect(readAnswers({ statusCode })).toMatchObject(UNKNOWN_FRAMES)
+})
+
+test.each([
+  ['a b: c\r\n'], ['a : b\r\n'], ['a\x01: b\r\n'], [': b\r\n'], ['a\r\n'], ['a: b\r\n c\r\n'],
+  ['a: b\x00\r\n'], ['a: b\r\n\r\n'], ['a: b'], ['\u0141: b\r\n'], ['a: \u0141\r\n'], [7]
+])('an answer with header lines like %j from another node has an unknown outcome', headerText => {
+  expect(readAnswers({ headerText })).toMatchObject(UNKNOWN_FRAMES)
+})
+
+test('an answer with a control byte in its reason phrase from another node has an unknown outcome', () => {
+  expect(readAnswers({ statusText: 'a\r\nb: c' })).toMatchObject(UNKNOWN_FRAMES)
+})
+
+test('an answer with ordinary header lines from another node is read as it was sent', () => {
+  const answer = { statusText: 'Voil\xE0', headerText: 'A: b\r\nEmpty: \r\nText: voil\xC3\xA0\t"x: y"\r\n' }
+  expect(readAnswers(answer)).toMatchObject([
+    { kind: FrameKind.Answered, number: 7, result: answer, report: REPORT },
+    { kind: FrameKind.LongAnswer, number: 8, result: answer, report: REPORT, bodyBytes: 70_000 }
+  ])
 })
 
 test.each([[0], [7], [0xFFFF_FFFF], [0x1_0000_0000], [Number.MAX_SAFE_INTEGER]])(
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -2,6 +2,7 @@
 import { Packr } from 'msgpackr/pack'
 import type { ServiceUsage } from '../core/chainAdmission/chainAdmissionTypes.js'
 import { BodyBuffer } from '../http/bodyBuffer.js'
+import { areFieldLines, isFieldText } from '../http/fieldSyntax.js'
 import { joinBody } from '../http/messageBody.js'
 import { plausiblePaceRatio } from '../core/placement/placementDetector.js'
 import type { ServerSignals } from '../core/placement/placementTypes.js'
@@ -286,9 +287,11 @@
   return Number.isInteger(statusCode) && (statusCode as number) >= 200 && (statusCode as number) <= 599
 }
 
-function decodeAnswer (fields: readonly unknown[]): AnsweredResult {
+/** Returns null if the head of the answer is malformed: a peer of an older build forwards any head of its server. */
+function decodeAnswer (fields: readonly unknown[]): AnsweredResult | null {
   const [, , , statusCode, statusText, headerText, body, servedMs, hasLengthFlag] =
     fields as [unknown, unknown, unknown, number, string, string, Buffer, number, number]
+  if (!isFinalStatus(statusCode) || !isFieldText(statusText) || typeof headerText !== 'string' || !areFieldLines(headerText)) return null
   return { kind: 'answered', statusCode, statusText, headerText, body, servedMs, hasLength: hasLengthFlag === 1 }
 }
 
@@ -312,10 +315,9 @@
     }
     case FrameKind.Call: return { kind, number: fields[1] as number, call: decodeCall(fields) }
     case FrameKind.Answered: {
-      const [, number, report, statusCode] = fields as [unknown, number, unknown, unknown]
-      if (isFinalStatus(statusCode)) return { kind, number, report: decodeReport(report), result: decodeAnswer(fields) }
-      // A peer of an older build forwards any status of its server.
-      return createMalformed(number, report)
+      const [, number, report] = fields as [unknown, number, unknown]
+      const result = decodeAnswer(fields)
+      return result === null ? createMalformed(number, report) : { kind, number, report: decodeReport(report), result }
     }
     case FrameKind.LongCall: {
       const callFields = fields[2] as unknown[]
@@ -324,15 +326,10 @@
       }
     }
     case FrameKind.LongAnswer: {
-      const answerFields = fields[2] as unknown[]
-      if (!isFinalStatus(answerFields[3])) return createMalformed(answerFields[1] as number, answerFields[2])
-      return {
-        kind,
-        bodyBytes: decodeLength(fields[1]),
-        number: answerFields[1] as number,
-        report: decodeReport(answerFields[2]),
-        result: decodeAnswer(answerFields)
-      }
+      const [, number, report] = fields[2] as [unknown, number, unknown]
+      const result = decodeAnswer(fields[2] as unknown[])
+      if (result === null) return createMalformed(number, report)
+      return { kind, bodyBytes: decodeLength(fields[1]), number, report: decodeReport(report), result }
     }
     case FrameKind.BodyPart: return { kind, number: fields[1] as number, bytes: fields[2] as Buffer }
     case FrameKind.NotRun: {
