Accept only the transfer coding that undici decodes

ragwortspur-node passed on the chunks of an answer with the coding x-chunked as its body, cut or whole, with status 200.

Cause: an answer without a length is refused, but the check took any transfer coding that ends with the word chunked for a mark of the end. undici takes such a body for one that ends with its connection, also if that is reset.

Change: "chunked" in any case, with blanks around it, is the only coding accepted. Tests of cut answers, malformed fields and control bytes for the client library, for reads of published values and for requests of callers.

--- a/src/node/callServer.spec.ts
+++ b/src/node/callServer.spec.ts
@@ -56,6 +56,15 @@
   test.each([
     ['oversized head', `${HEAD}x-long: ${'x'.repeat(200_000)}\r\n\r\n`, '431', 'head_too_large'],
     ['malformed head', 'this is no request\r\n\r\n', '400', 'malformed_call'],
+    ['blank in a name', `${HEAD}a b: c\r\n\r\n`, '400', 'malformed_call'],
+    ['blank before the colon', `${HEAD}content-length : 3\r\n\r\n`, '400', 'malformed_call'],
+    ['control byte in a name', `${HEAD}content-length\x01: 3\r\n\r\n`, '400', 'malformed_call'],
+    ['no name', `${HEAD}: b\r\n\r\n`, '400', 'malformed_call'],
+    ['no colon', `${HEAD}ab\r\n\r\n`, '400', 'malformed_call'],
+    ['folded line', `${HEAD}a: b\r\n c\r\n\r\n`, '400', 'malformed_call'],
+    ['control byte in a value', `${HEAD}a: b\0c\r\n\r\n`, '400', 'malformed_call'],
+    ['other control byte in a value', `${HEAD}a: b\x1Bc\r\n\r\n`, '400', 'malformed_call'],
+    ['malformed trailer', `${POST_HEAD}transfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\na b: c\r\n\r\n`, '400', 'malformed_call'],
     ['oversized chunked body',
       `${POST_HEAD}transfer-encoding: chunked\r\n\r\n1e8480\r\n${'x'.repeat(2_000_000)}\r\n0\r\n\r\n`, '413', 'body_too_large'],
     ['slow sender of a head', HEAD, '408', 'slow_sender'],
@@ -141,6 +150,17 @@
     expect(await raw.readUntilClosed()).toContain('got body')
   })
 
+  test('bytes above 0x7F in the values of an answer stay as they were', async () => {
+    await world.start(1)
+    world.backends[0]!.onCall = (request, response) => {
+      const call = String(request.headers['ragwortspur-call'])
+      const head = `HTTP/1.1 200 OK\r\nragwortspur-call: ${call}\r\nx-a: voil\xC3\xA0\r\nx-b: \xE9\r\ncontent-length: 2\r\n\r\n`
+      response.socket?.write(Buffer.from(`${head}ok`, 'latin1'))
+    }
+    const { status, headers } = await call(world.nodes[0]!)
+    expect([status, headers['x-a'], headers['x-b']]).toEqual([200, 'voil\xC3\xA0', '\xE9'])
+  })
+
   test('every set-cookie header of an answer is forwarded', async () => {
     await world.start(1)
     world.backends[0]!.onCall = (_request, response) => { response.setHeader('set-cookie', ['a=1', 'b=2']).end('x') }
--- a/src/node/platformReader.spec.ts
+++ b/src/node/platformReader.spec.ts
@@ -4,6 +4,14 @@
 import { startValueServer, waitUntil, type ValueServer } from '../testing/valueServer.js'
 import { createPlatformReader, type PlatformReader } from './platformReader.js'
 
+const VALUE_TEXT = '{"key":"vms/tartu","revision":9,"value":"{}"}'
+
+/** Writes raw bytes in place of an answer, and resets the connection if `isCut`. */
+function writeRaw (response: ServerResponse, fieldLines: string, body: string, isCut: boolean): void {
+  response.socket?.write(`HTTP/1.1 200 OK\r\n${fieldLines}\r\n${body}`)
+  if (isCut) response.socket?.resetAndDestroy()
+}
+
 const heldValues = new Map([documentValue(7, 5), vmListValue('tartu', 3, ['a'])].map(value => [value.key, value]))
 
 describe('reader of the configuration service', () => {
@@ -58,6 +66,16 @@
     ['an invalid format', (response: ServerResponse) => response.end('{"key":"vms/tartu","revision":"9","value":""}')],
     ['a body above the size limit', (response: ServerResponse) => response.end('x'.repeat(4_000_000))],
     ['a reset', (response: ServerResponse) => response.destroy()],
+    ['a reset before the end of the chunks', (response: ServerResponse) => {
+      writeRaw(response, 'transfer-encoding: chunked\r\nconnection: close\r\n', `${VALUE_TEXT.length.toString(16)}\r\n${VALUE_TEXT}\r\n`, true)
+    }],
+    ['a reset of a value without a length', (response: ServerResponse) => writeRaw(response, '', VALUE_TEXT.slice(0, -1), true)],
+    ['a blank in a field name', (response: ServerResponse) => {
+      writeRaw(response, `a b: c\r\ncontent-length: ${VALUE_TEXT.length}\r\n`, VALUE_TEXT, false)
+    }],
+    ['a control byte in a field name', (response: ServerResponse) => {
+      writeRaw(response, `a\x01: b\r\ncontent-length: ${VALUE_TEXT.length}\r\n`, VALUE_TEXT, false)
+    }],
     ['no answer', () => undefined]
   ])('%s counts as a failed read without a value', async (_name, answer) => {
     await read([{ key: 'vms/tartu', afterRevision: 0 }], (_key, response) => { answer(response); return true }, 200)
--- a/src/node/poolCall.ts
+++ b/src/node/poolCall.ts
@@ -123,7 +123,9 @@
   #isSelfDelimited (): boolean {
     if (this.request.method === 'HEAD' || this.#status === 204 || this.#status === 304) return true
     const encoding = this.#headers['transfer-encoding']
-    return this.#headers['content-length'] !== undefined || /\bchunked\s*$/i.test(String(encoding ?? ''))
+    if (encoding === undefined) return this.#headers['content-length'] !== undefined
+    // undici decodes nothing else, not even with a tab behind it, and then ends the body with the connection.
+    return /^chunked *$/i.test(String(encoding))
   }
 }
 
