--- a/src/http/cutAnswers.spec.ts
+++ b/src/http/cutAnswers.spec.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net'
-import { setTimeout as sleep } from 'node:timers/promises'
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises'
 import { memoryAccountDefinition } from '../core/memoryAccount/memoryAccountDefinition.js'
 import { PoolFixture } from '../testing/poolFixture.js'
 import { BrokenCause, type ExchangeRequest, type ExchangeResult } from './exchangePool.js'
@@ -45,19 +45,28 @@
     if (!text.startsWith('GET /first')) answer(socket)
     else {
       socket.write('HTTP/1.1 200 OK\r\nid: first\r\nContent-Length: 0\r\n\r\n')
-      if (reading === 'nothing') pauseAndAnswer(socket)
+      if (reading === 'nothing') void answerUnread(socket)
     }
   }).start()
-  const pauseAndAnswer = (socket: Socket): void => {
+  let onSent = (): void => {}
+  const sent = new Promise<void>(resolve => { onSent = resolve })
+  /** Answers a request that has been sent but not read. */
+  const answerUnread = async (socket: Socket): Promise<void> => {
     socket.pause()
-    setTimeout(() => answer(socket), 2 * SOME_MS)
+    await sent
+    await sleep(2 * SOME_MS)
+    // The poll phase before this one has opened the connection at the other side.
+    await nextTurn()
+    answer(socket)
   }
-  if (reading === 'nothing' && !isLater) fixture.onConnection = pauseAndAnswer
+  if (reading === 'nothing' && !isLater) fixture.onConnection = socket => { void answerUnread(socket) }
   const tries = Array.from({ length: TRIES_COUNT })
   if (isLater) await Promise.all(tries.map(() => fixture.send('first')))
   const head = Buffer.from('POST / HTTP/1.1\r\n\r\n')
   const bytes = ArrayBuffer.isView(body) ? Buffer.concat([head, body]) : [head, ...body as readonly Uint8Array[]]
-  return await Promise.all(tries.map(() => sendWithin({ bytes })))
+  const results = tries.map(() => sendWithin({ bytes }))
+  onSent()
+  return await Promise.all(results)
 }
 
 /** Sends a request, which has to end at once. */
