--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -291,7 +291,9 @@
 function decodeAnswer (fields: readonly unknown[]): AnsweredResult | null {
   const [, , , statusCode, statusText, headerText, body, servedMs, hasLengthFlag] =
     fields as [unknown, unknown, unknown, number, string, string, Buffer, number, number]
-  if (!isFinalStatus(statusCode) || !isFieldText(statusText) || typeof headerText !== 'string' || !areFieldLines(headerText)) return null
+  const isHeadValid = isFinalStatus(statusCode) && isFieldText(statusText) &&
+    typeof headerText === 'string' && areFieldLines(headerText)
+  if (!isHeadValid) return null
   return { kind: 'answered', statusCode, statusText, headerText, body, servedMs, hasLength: hasLengthFlag === 1 }
 }
 
